--- /dev/null
+++ b/src/cli/cli.ts
@@ -0,0 +1,85 @@
+/** The command line: serve, check the settings, help, version. */
+import { readFileSync } from 'node:fs';
+import { Command, CommanderError } from 'commander';
+import { Controller } from '../controller.js';
+import { openLog } from '../log.js';
+import { KNOBS, loadSettings, loadTuning, logLevelOf, SettingsError } from '../settings/settings.js';
+import { systemClock } from '../units.js';
+
+const BAD_SETTINGS = 2;
+
+interface Options {
+  readonly config: string;
+  readonly properties?: string;
+}
+
+function version(): string {
+  for (const up of ['../../package.json', '../../../package.json']) {
+    try {
+      const text = readFileSync(new URL(up, import.meta.url), 'utf8');
+      return (JSON.parse(text) as { version: string }).version;
+    } catch {
+      // One level further up when built.
+    }
+  }
+  return 'unknown';
+}
+
+async function serve(options: Options): Promise<void> {
+  const level = logLevelOf(process.env['LOG_LEVEL']);
+  const settings = loadSettings(options.config);
+  const tuning = loadTuning(options.properties);
+  await new Controller(settings, tuning, systemClock, openLog(level, settings.node)).run();
+}
+
+function check(options: Options): void {
+  logLevelOf(process.env['LOG_LEVEL']);
+  const settings = loadSettings(options.config);
+  loadTuning(options.properties);
+  process.stdout.write(
+    `${options.config}: valid (controller ${settings.node}, ${settings.parts.length} parts)\n`,
+  );
+}
+
+function knobHelp(): string {
+  const lines = KNOBS.map(
+    (k) => `  ${k.key.padEnd(26)} ${k.about} (${k.min} to ${k.max}, else ${k.fallback})`,
+  );
+  return `\nOperators' properties:\n${lines.join('\n')}\n`;
+}
+
+function program(): Command {
+  const cli = new Command('cleatport');
+  cli.description('Cluster scheduler: a flock of controllers that place tasks on rented machines');
+  cli.version(version()).exitOverride().configureHelp({ showGlobalOptions: true });
+  cli.addHelpText(
+    'after',
+    '\nLOG_LEVEL (error, info, debug; else info) sets what is logged to standard error.',
+  );
+  for (const [name, about, run] of [
+    ['serve', 'run a controller until it is killed', serve],
+    ['check', 'check the settings and end', check],
+  ] as const) {
+    cli
+      .command(name)
+      .description(about)
+      .requiredOption('--config <file>', 'the settings file that the platform hands over (TOML)')
+      .option('--properties <file>', "operators' own settings (.properties)")
+      .addHelpText('after', knobHelp())
+      .exitOverride()
+      .action(run);
+  }
+  return cli;
+}
+
+export async function main(argv: readonly string[]): Promise<number> {
+  try {
+    await program().parseAsync([...argv]);
+    return 0;
+  } catch (e) {
+    if (e instanceof CommanderError) return e.exitCode === 0 ? 0 : BAD_SETTINGS;
+    const text = e instanceof SettingsError ? e.message : `start failed: ${(e as Error).message}`;
+    process.stderr.write(`cleatport: ${text}\n`);
+    return e instanceof SettingsError ? BAD_SETTINGS : 1;
+  }
+}
--- /dev/null
+++ b/src/cloud/client.ts
@@ -0,0 +1,93 @@
+/** Client of the cloud: rents, returns and lists machines within this controller's share of the limit. */
+import type { Outcome } from '../http/client.js';
+import type { Settings } from '../settings/settings.js';
+import { Budget, Rank } from '../state/budget.js';
+import type { Caller } from '../state/client.js';
+import type { Clock, MachineId } from '../units.js';
+import { millis } from '../units.js';
+import {
+  decodeCatalog,
+  decodeListed,
+  decodeRented,
+  encodeRent,
+  encodeReturn,
+  listMachinesPath,
+  type Listed,
+  type MachineType,
+  type RentRequest,
+} from './wire.js';
+
+export type RentResult =
+  | { readonly kind: 'rented'; readonly machines: readonly MachineId[] }
+  | { readonly kind: 'no-capacity' }
+  /** Unclear or refused for now: the same request, by the same name, may be sent again. */
+  | { readonly kind: 'failed' };
+
+const TIMEOUT = millis(4000);
+const PATIENCE = millis(3000);
+
+export class CloudClient {
+  private readonly budget: Budget;
+
+  constructor(
+    private readonly http: Caller,
+    clock: Clock,
+    settings: Settings,
+  ) {
+    const share = (settings.cloudRps * 0.9) / settings.parts.length;
+    this.budget = new Budget(clock, share, Math.max(1, share * 2));
+  }
+
+  private async request(method: 'GET' | 'POST', path: string, body: unknown, rank: Rank): Promise<Outcome> {
+    if (!(await this.budget.take(1, rank, PATIENCE))) return { kind: 'unsent' };
+    const outcome = await this.http.call({
+      method,
+      path,
+      ...(body === undefined ? {} : { body }),
+      timeout: TIMEOUT,
+    });
+    if (outcome.kind === 'answer' && outcome.status === 429) this.budget.punish();
+    return outcome;
+  }
+
+  async catalog(): Promise<MachineType[] | null> {
+    const outcome = await this.request('GET', '/catalog', undefined, Rank.submit);
+    return outcome.kind === 'answer' && outcome.status === 200 ? decodeCatalog(outcome.body) : null;
+  }
+
+  async rent(request: RentRequest): Promise<RentResult> {
+    const outcome = await this.request('POST', '/hosts', encodeRent(request), Rank.submit);
+    if (outcome.kind !== 'answer') return { kind: 'failed' };
+    if (outcome.status === 200) {
+      const machines = decodeRented(outcome.body);
+      return machines ? { kind: 'rented', machines } : { kind: 'failed' };
+    }
+    const error = (outcome.body as { error?: unknown } | null)?.error;
+    return outcome.status === 503 && error === 'no capacity' ? { kind: 'no-capacity' } : { kind: 'failed' };
+  }
+
+  /** True: the machines and all that was on them are gone. */
+  async giveBack(ids: readonly MachineId[]): Promise<boolean> {
+    const outcome = await this.request(
+      'POST',
+      '/hosts/delete',
+      encodeReturn(ids.slice(0, 100)),
+      Rank.ownership,
+    );
+    return outcome.kind === 'answer' && outcome.status === 200 && ids.length <= 100;
+  }
+
+  async list(): Promise<Listed[] | null> {
+    const all: Listed[] = [];
+    let after: MachineId | null = null;
+    for (;;) {
+      const outcome = await this.request('GET', listMachinesPath(after), undefined, Rank.handover);
+      const page = outcome.kind === 'answer' && outcome.status === 200 ? decodeListed(outcome.body) : null;
+      if (!page) return null;
+      all.push(...page.machines);
+      const last = page.machines.at(-1);
+      if (!page.more || !last) return all;
+      after = last.id;
+    }
+  }
+}
--- /dev/null
+++ b/src/controller.ts
@@ -0,0 +1,202 @@
+/** One controller: wires the slices to each other and to the network, and keeps them turning. */
+import { randomBytes } from 'node:crypto';
+import { CloudClient } from './cloud/client.js';
+import { Core } from './core.js';
+import { Fleet } from './fleet/fleet.js';
+import { assignJob } from './flock/assign.js';
+import { composeNews, offerOf, receive, zoneOfPart } from './flock/news.js';
+import { seededRandom } from './flock/willing.js';
+import { HttpClient } from './http/client.js';
+import { serve, type Answer, type Request } from './http/server.js';
+import { JobDesk } from './jobs/desk.js';
+import { ProgressWriter } from './jobs/progress.js';
+import { LIVE, type Assignment } from './jobs/record.js';
+import type { JobSpec } from './jobs/spec.js';
+import type { Log } from './log.js';
+import { openMesh } from './mesh/mesh.js';
+import { syncJob } from './parts/model.js';
+import { Ownership } from './parts/ownership.js';
+import { ALIVE, decodeMachine, FOLLOWED, MACHINES, PARTS } from './parts/records.js';
+import { RunTimes } from './placement/runtimes.js';
+import { Scheduler } from './placement/scheduler.js';
+import { QuotaDesk } from './quota/desk.js';
+import type { Settings, Tuning } from './settings/settings.js';
+import { StateClient } from './state/client.js';
+import { Follower } from './state/follower.js';
+import { View } from './state/view.js';
+import type { Clock, Incarnation, JobId, MachineId, PartId, Revision } from './units.js';
+import { millis } from './units.js';
+import { WorkerDesk } from './workers/desk.js';
+
+const TICK = millis(200);
+const ALONE_AFTER = millis(6000);
+
+export class Controller {
+  private readonly core: Core;
+  private readonly ownership: Ownership;
+  private readonly workers: WorkerDesk;
+  private readonly jobs: JobDesk;
+  private readonly scheduler: Scheduler;
+  private readonly quota: QuotaDesk;
+  private readonly fleet: Fleet;
+  private readonly progress: ProgressWriter;
+  private readonly follower: Follower;
+  private lastNews = -1e12;
+  private lastOffer = '';
+
+  constructor(settings: Settings, tuning: Tuning, clock: Clock, log: Log) {
+    const incarnation = randomBytes(6).toString('hex') as Incarnation;
+    const random = seededRandom(tuning.seed + settings.part);
+    this.core = new Core(settings, tuning, clock, log, incarnation, random);
+    const { core } = this;
+    const unit = (): number => random(10_000) / 10_000;
+    core.state = new StateClient(
+      new HttpClient(settings.state, 12),
+      new HttpClient(settings.state, 2, 64 * 1024 * 1024),
+      clock,
+      settings,
+      unit,
+    );
+    core.cloud = new CloudClient(new HttpClient(settings.cloud, 3), clock, settings);
+    core.view = new View((key, value, version) => this.onChange(key, value, version));
+    const gap = millis(Math.max(25, (settings.parts.length * 1000) / (settings.stateRps * 0.3)));
+    this.follower = new Follower(core.state, core.view, FOLLOWED, tuning.followBlock, gap, clock, unit, log);
+    core.stateHealthy = () => this.follower.healthy;
+    const runTimes = new RunTimes();
+    this.ownership = new Ownership(core, (p) => this.workers.workersAnswer(p));
+    this.workers = new WorkerDesk(core, this.ownership, runTimes);
+    this.jobs = new JobDesk(core, (spec) => this.assign(spec));
+    this.quota = new QuotaDesk(core);
+    this.fleet = new Fleet(core, runTimes, (part, m) => this.workers.remove(part, m));
+    this.scheduler = new Scheduler(core, this.workers, this.quota, this.fleet, runTimes);
+    this.progress = new ProgressWriter(core, (id) => this.jobs.keepFinal(id, 'done'));
+    core.wake = () => this.scheduler.wake();
+  }
+
+  async run(): Promise<void> {
+    const { settings, clock, log } = this.core;
+    const peers = settings.peers.map((p) => ({ node: p.node, address: p.address }));
+    this.core.mesh = openMesh(settings.meshListen, peers, (m) => this.onMessage(m), log);
+    const options = {
+      maxConnections: Math.max(16, settings.maxConnections - 80),
+      receive: millis(10_000),
+      idle: millis(120_000),
+      answer: millis(4500),
+    };
+    await serve(settings.listen, (r) => this.route(r), options, log);
+    log.info(
+      { listen: settings.listen, mesh: settings.meshListen, incarnation: this.core.incarnation },
+      'started',
+    );
+    void this.follower.run();
+    void this.ownership.runAlive();
+    void this.fleet.runCatalog();
+    void this.fleet.runList();
+    const turn = (): void => {
+      void this.core.exclusive(() => this.tick());
+      clock.after(TICK, turn);
+    };
+    turn();
+  }
+
+  private tick(): void {
+    const now = this.core.clock.now();
+    this.ownership.tick();
+    for (const part of this.core.parts.values()) this.workers.sweep(part);
+    this.progress.tick();
+    this.fleet.tick();
+    this.announce(now);
+    this.workers.forgetClients();
+    this.core.wake();
+  }
+
+  /** Every interval, and soon after what is free has changed. */
+  private announce(now: number): void {
+    const offers = [...this.core.parts.values()].map((p) => offerOf(this.core, p));
+    for (const o of offers) this.core.offers.set(o.part, o);
+    const summary = JSON.stringify(offers.map((o) => [o.part, o.machines]));
+    const due = now - this.lastNews >= this.core.tuning.checkInterval || summary !== this.lastOffer;
+    if (!due) return;
+    this.lastNews = now;
+    this.lastOffer = summary;
+    this.core.mesh.broadcast(
+      composeNews(this.core, (p) => this.quota.spare(p), this.ownership.strayCounts()),
+    );
+  }
+
+  private onMessage(raw: unknown): void {
+    const ask = receive(this.core, raw);
+    if (ask) void this.quota.answer(ask);
+    this.core.wake();
+  }
+
+  private onChange(key: string, value: unknown, version: Revision): void {
+    if (key.startsWith(LIVE)) this.onJob(key, value, version);
+    else if (key.startsWith(PARTS)) this.ownership.onPart(key, value, version);
+    else if (key.startsWith(MACHINES)) {
+      this.workers.onMachine(
+        key.slice(MACHINES.length) as MachineId,
+        value === undefined ? null : decodeMachine(value),
+      );
+    } else if (key.startsWith(ALIVE)) this.shareLimits();
+    this.core.wake();
+  }
+
+  private onJob(key: string, value: unknown, version: Revision): void {
+    const record = this.core.learnLive(key, value);
+    const now = this.core.clock.now();
+    if (!record) return this.scheduler.stopJob(key.slice(LIVE.length) as JobId);
+    for (const part of this.core.parts.values()) syncJob(part, record, version, now, false);
+  }
+
+  /** Controllers that are not alive leave their share of the limits to the others. */
+  private shareLimits(): void {
+    let alive = 0;
+    for (const entry of this.core.view.under(ALIVE)) if (entry) alive += 1;
+    this.core.state.share(Math.max(1, Math.min(alive, this.core.settings.parts.length)));
+  }
+
+  private homePart(): PartId {
+    const own = this.core.settings.part;
+    if (this.core.parts.has(own)) return own;
+    return this.core.parts.keys().next().value ?? own;
+  }
+
+  private assign(spec: JobSpec): Assignment[] {
+    const { core } = this;
+    const home = this.homePart();
+    return assignJob(spec, {
+      now: core.clock.now(),
+      home,
+      homeZone: zoneOfPart(core, home),
+      parts: core.settings.parts,
+      zones: core.settings.zones,
+      offers: core.offers,
+      random: core.random,
+    });
+  }
+
+  private route(request: Request): Answer | Promise<Answer> {
+    const { method } = request;
+    const path = request.path.split('?', 1)[0] ?? '';
+    if (path === '/up') return method === 'GET' ? this.up() : notAllowed();
+    if (path === '/agent/beat') return method === 'POST' ? this.workers.report(request.body) : notAllowed();
+    if (path === '/v2/runs') return method === 'POST' ? this.jobs.submit(request.body) : notAllowed();
+    const job = /^\/v2\/runs\/([^/]+)(\/abort)?$/.exec(path);
+    if (job?.[2]) return method === 'POST' ? this.jobs.abort(job[1] ?? '') : notAllowed();
+    if (job) return method === 'GET' ? this.jobs.status(job[1] ?? '') : notAllowed();
+    return { status: 404, body: { error: 'no such path' } };
+  }
+
+  /** Out only when peers are served by the state service and we are not: in an outage everybody stays in. */
+  private up(): Answer {
+    const { core } = this;
+    const ready = core.view.loaded && core.types.size > 0;
+    const stale = core.clock.now() - core.view.confirmed > ALONE_AFTER;
+    const peersServed = [...core.peers].some(([node, p]) => core.heard(node, millis(2500)) && p.stateOk);
+    if (ready && !(stale && peersServed)) return { status: 200, body: { ok: true } };
+    return { status: 503, body: { error: ready ? 'cut off from the state service' : 'starting' } };
+  }
+}
+
+const notAllowed = (): Answer => ({ status: 405, body: { error: 'method not allowed' } });
--- /dev/null
+++ b/src/core.ts
@@ -0,0 +1,163 @@
+/** What the slices of one controller share: settings, clients, the view, the parts it owns. */
+import { Mutex } from 'async-mutex';
+import type { CloudClient } from './cloud/client.js';
+import type { MachineType } from './cloud/wire.js';
+import { decodeRecord, LIVE, type JobRecord } from './jobs/record.js';
+import type { JobSpec } from './jobs/spec.js';
+import type { Log } from './log.js';
+import type { Mesh } from './mesh/mesh.js';
+import type { Part } from './parts/model.js';
+import { aliveKey, decodeAlive, decodePart, partKey, type PartRecord } from './parts/records.js';
+import type { Offer, Random } from './flock/willing.js';
+import type { Settings, Tuning } from './settings/settings.js';
+import type { StateClient, TxnResult } from './state/client.js';
+import type { Rank } from './state/budget.js';
+import type { View } from './state/view.js';
+import type { Change, Condition } from './state/wire.js';
+import type {
+  Clock,
+  Incarnation,
+  JobId,
+  MachineId,
+  Millis,
+  NodeId,
+  PartId,
+  SteadyMs,
+  TeamId,
+  TypeId,
+} from './units.js';
+import { millis } from './units.js';
+
+/** Beyond any drift between clocks (0.05%) and the steps of timers. */
+export const DRIFT = 1.001;
+export const MARGIN = millis(500);
+
+/** What a peer last said about itself and its parts. */
+export interface PeerNews {
+  readonly heard: SteadyMs;
+  readonly incarnation: Incarnation;
+  readonly stateOk: boolean;
+  readonly running: ReadonlyMap<JobId, number>;
+  /** Machines that came to the peer because the owner of their part does not answer them. */
+  readonly strays: ReadonlyMap<PartId, number>;
+}
+
+export interface PartNews {
+  readonly expires: SteadyMs;
+  readonly used: ReadonlyMap<TeamId, number>;
+  readonly spare: ReadonlyMap<TeamId, number>;
+}
+
+export interface LiveJob {
+  readonly record: JobRecord;
+  readonly version: number;
+}
+
+export class Core {
+  readonly parts = new Map<PartId, Part>();
+  readonly types = new Map<TypeId, MachineType>();
+  readonly live = new Map<JobId, JobRecord>();
+  readonly offers = new Map<PartId, Offer>();
+  readonly partNews = new Map<PartId, PartNews>();
+  readonly peers = new Map<NodeId, PeerNews>();
+  /** Which part a rented machine is meant for; a hint until the machine is named in the state service. */
+  readonly rentedFor = new Map<MachineId, PartId>();
+  /** Specs of jobs that are over, while their tasks may still be on machines. */
+  readonly past = new Map<JobId, JobSpec>();
+  private readonly mutex = new Mutex();
+  view!: View;
+  state!: StateClient;
+  cloud!: CloudClient;
+  mesh!: Mesh;
+  /** Asks for a placement round soon. */
+  wake: () => void = () => undefined;
+  stateHealthy: () => boolean = () => false;
+
+  constructor(
+    readonly settings: Settings,
+    readonly tuning: Tuning,
+    readonly clock: Clock,
+    readonly log: Log,
+    readonly incarnation: Incarnation,
+    readonly random: Random,
+  ) {}
+
+  /** Short and without I/O: whoever changes shared state does it in here. */
+  exclusive<T>(work: () => T): Promise<T> {
+    return this.mutex.runExclusive(work);
+  }
+
+  sleep(delay: Millis): Promise<void> {
+    return new Promise((resolve) => this.clock.after(delay, resolve));
+  }
+
+  get reportMs(): number {
+    return this.settings.reportS * 1000;
+  }
+
+  get leaseMs(): number {
+    return this.settings.leaseS * 1000 * DRIFT + MARGIN;
+  }
+
+  /**
+   * May this controller still command? A job may have been cancelled elsewhere since the view was last
+   * confirmed, and its tasks must be gone within the cancel time even on a machine whose lease we renew now.
+   */
+  authority(now: SteadyMs): boolean {
+    const limit = (this.settings.cancelS - this.settings.leaseS) * 1000 - 2 * MARGIN - this.settings.cancelS;
+    return this.view.loaded && now - this.view.confirmed < limit;
+  }
+
+  partRecord(p: PartId): PartRecord | null {
+    const entry = this.view.get(partKey(p));
+    return entry ? decodePart(entry.value) : null;
+  }
+
+  isAlive(node: NodeId, incarnation: Incarnation | null): boolean {
+    const entry = this.view.get(aliveKey(node));
+    return entry !== undefined && (incarnation === null || decodeAlive(entry.value) === incarnation);
+  }
+
+  heard(node: NodeId, within: Millis): boolean {
+    const news = this.peers.get(node);
+    return news !== undefined && this.clock.now() - news.heard < within;
+  }
+
+  /** Conditions under which an owner's write may apply: it still owns the part. */
+  ownerCondition(part: Part): Condition {
+    return { key: partKey(part.id), version: part.version };
+  }
+
+  /**
+   * Sends a transaction until its outcome is certain. `conflict` after an unclear try means: look at what the
+   * store holds, it may have been ours that was applied.
+   */
+  async settle(
+    when: Condition[],
+    changes: Change[],
+    rank: Rank,
+  ): Promise<Exclude<TxnResult, { kind: 'unknown' }>> {
+    let unclear = false;
+    for (let wait = 100; ; wait = Math.min(2000, wait * 2)) {
+      const result = await this.state.txn(when, changes, rank);
+      if (result.kind === 'unknown') unclear = true;
+      // A refusal says nothing about an earlier copy that is still on its way.
+      else if (result.kind !== 'refused' || !unclear) return result;
+      await this.sleep(millis(wait * (0.5 + this.random(1000) / 1000)));
+    }
+  }
+
+  /** The view's copy of live job records, decoded once per version. */
+  learnLive(key: string, value: unknown): JobRecord | null {
+    const id = key.slice(LIVE.length) as JobId;
+    const record = value === undefined ? null : decodeRecord(value);
+    if (record) this.live.set(id, record);
+    else {
+      const old = this.live.get(id);
+      this.live.delete(id);
+      if (old) this.past.set(id, old.spec);
+      if (this.past.size > 500) this.past.delete(this.past.keys().next().value as JobId);
+    }
+    return record;
+  }
+}
--- /dev/null
+++ b/src/fleet/fleet.ts
@@ -0,0 +1,296 @@
+/** Rents machines for what finds no room, returns idle, taken, failed and silent ones, keeps the catalog. */
+import type { Listed, MachineType, RentRequest } from '../cloud/wire.js';
+import type { Core } from '../core.js';
+import { pinOf, type Machine, type Part } from '../parts/model.js';
+import { CATALOG_KEY, decodeMachine, machineKey } from '../parts/records.js';
+import type { Unplaced } from '../placement/plan.js';
+import type { RunTimes } from '../placement/runtimes.js';
+import { Rank } from '../state/budget.js';
+import type { MachineId, PartId, RentalId, SteadyMs, ZoneId } from '../units.js';
+import { millis } from '../units.js';
+import { zoneOfPart } from '../flock/news.js';
+import { kindKey, planRentals, type Demand, type Kind } from './plan.js';
+
+interface Pending extends Kind {
+  readonly part: PartId;
+  readonly id: MachineId;
+  readonly at: SteadyMs;
+}
+
+const REFUSED_BACKOFF = 12_000;
+const FAILED_BACKOFF = 3000;
+const RENT_GAP = 1000;
+const LIST_GAP = millis(5000);
+
+export class Fleet {
+  private readonly pending = new Map<MachineId, Pending>();
+  private readonly blockedUntil = new Map<string, number>();
+  private readonly demands = new Map<PartId, Demand[]>();
+  private readonly renting = new Set<PartId>();
+  private readonly lastRent = new Map<PartId, SteadyMs>();
+  private readonly strangers = new Map<MachineId, SteadyMs>();
+  private rentals = 0;
+  private catalogAt = -1e12;
+
+  constructor(
+    private readonly core: Core,
+    private readonly runTimes: RunTimes,
+    private readonly onGone: (part: Part, machine: Machine) => void,
+  ) {}
+
+  /** The scheduler says what found no room in this round. */
+  demand(part: Part, unplaced: readonly Unplaced[], now: SteadyMs): void {
+    const list: Demand[] = [];
+    for (const u of unplaced) {
+      if (u.reason !== 'room') continue;
+      const byPin = new Map<ZoneId | null, number>();
+      for (const i of u.indices) byPin.set(pinOf(u.job, i), (byPin.get(pinOf(u.job, i)) ?? 0) + 1);
+      const waitedMs = now - (u.job.waitingSince ?? now);
+      for (const [pin, count] of byPin) list.push({ spec: u.job.spec, pin, count, waitedMs });
+    }
+    this.demands.set(part.id, list);
+  }
+
+  /** A few times a second. */
+  tick(): void {
+    const now = this.core.clock.now();
+    for (const part of this.core.parts.values()) {
+      if (!this.core.authority(now)) continue;
+      this.rent(part, now);
+      for (const m of part.machines.values()) this.review(part, m, now);
+    }
+    this.forgetArrived();
+  }
+
+  private forgetArrived(): void {
+    for (const id of this.pending.keys()) {
+      if (this.core.view.get(machineKey(id))) {
+        this.pending.delete(id);
+        this.core.rentedFor.delete(id);
+      }
+    }
+  }
+
+  private rent(part: Part, now: SteadyMs): void {
+    const demands = this.demands.get(part.id) ?? [];
+    if (demands.length === 0 || this.renting.has(part.id) || this.core.types.size === 0) return;
+    if (now - (this.lastRent.get(part.id) ?? -1e12) < RENT_GAP) return;
+    const wishes = planRentals(demands, {
+      types: [...this.core.types.values()],
+      zones: this.core.settings.zones,
+      home: zoneOfPart(this.core, part.id),
+      pending: [...this.pending.values()].filter((p) => p.part === part.id),
+      blocked: (k) => (this.blockedUntil.get(kindKey(k)) ?? 0) > now,
+      runningTasks: part.bound.size,
+      correction: (lane) => this.runTimes.correction(lane),
+    });
+    const wish = wishes[0];
+    if (!wish) return;
+    this.lastRent.set(part.id, now);
+    this.renting.add(part.id);
+    this.rentals += 1;
+    // Part and token are nobody else's: the name is never used again.
+    const rental = `c${part.id}-${part.token}-${this.rentals}` as RentalId;
+    void this.carryOut(part.id, { ...wish, rental }).finally(() => this.renting.delete(part.id));
+  }
+
+  private async carryOut(part: PartId, request: RentRequest): Promise<void> {
+    const { core } = this;
+    for (let i = 0; i < 4; i += 1) {
+      const result = await core.cloud.rent(request);
+      const now = core.clock.now();
+      if (result.kind === 'rented') {
+        for (const id of result.machines) {
+          this.pending.set(id, {
+            part,
+            id,
+            at: now,
+            type: request.type,
+            zone: request.zone,
+            spot: request.spot,
+          });
+          core.rentedFor.set(id, part);
+        }
+        if (result.machines.length < request.count) this.block(request, now + REFUSED_BACKOFF);
+        core.log.info({ ...request, got: result.machines.length }, 'rented');
+        return;
+      }
+      if (result.kind === 'no-capacity') {
+        core.log.info({ ...request }, 'no capacity');
+        this.block(request, now + REFUSED_BACKOFF * (0.75 + core.random(500) / 1000));
+        return;
+      }
+      await core.sleep(millis(FAILED_BACKOFF * (0.7 + core.random(600) / 1000)));
+    }
+  }
+
+  private block(kind: Kind, until: number): void {
+    this.blockedUntil.set(kindKey(kind), until);
+  }
+
+  /** Should this machine go back, and may it? */
+  private review(part: Part, m: Machine, now: SteadyMs): void {
+    if (m.returning) return;
+    const why = this.reasonToReturn(part, m, now);
+    if (why === null) return;
+    m.returning = true;
+    this.core.log.info({ machine: m.id, part: part.id, why, bound: m.bindings.size }, 'returning machine');
+    void this.giveBack(part, m);
+  }
+
+  private reasonToReturn(part: Part, m: Machine, now: SteadyMs): string | null {
+    const silent = now - (m.lastHeard ?? m.since);
+    const report = this.core.reportMs;
+    // A taken machine never comes back: asking the cloud makes certain that its tasks are gone.
+    if (m.takenAt !== null && now > m.takenAt && silent > 2 * report) return 'taken';
+    if (m.spot && silent > Math.max(3.2 * report, 5000) && this.othersHeard(part, m, now))
+      return 'spot machine silent';
+    if (silent > this.core.tuning.silentReturn) return 'silent';
+    if (m.bindings.size > 0 || m.directBusy || !m.settled || m.lastHeard === null) {
+      m.idleSince = null;
+      return null;
+    }
+    if (m.faults.length >= 4) return 'tasks fail on it';
+    m.idleSince ??= now;
+    if (m.takenAt !== null) return null;
+    const open = (this.demands.get(part.id) ?? []).length > 0;
+    if (open || now - m.idleSince < this.core.tuning.idleReturn || this.isLastOrdinary(part, m)) return null;
+    return 'idle';
+  }
+
+  private othersHeard(part: Part, m: Machine, now: SteadyMs): boolean {
+    if (part.machines.size === 1) return true;
+    for (const o of part.machines.values()) {
+      if (o !== m && o.lastHeard !== null && now - o.lastHeard < 1.5 * this.core.reportMs) return true;
+    }
+    return false;
+  }
+
+  /** One ordinary machine stays, so that a new job does not wait for a boot. */
+  private isLastOrdinary(part: Part, m: Machine): boolean {
+    if (m.spot) return false;
+    for (const o of part.machines.values()) if (o !== m && !o.spot && !o.returning && o.settled) return false;
+    return true;
+  }
+
+  /** Once asked, the deletion may be carried out at any later time: the machine takes no more work. */
+  private async giveBack(part: Part, m: Machine): Promise<void> {
+    const { core } = this;
+    for (let wait = 500; !(await core.cloud.giveBack([m.id])); wait = Math.min(5000, wait * 2)) {
+      await core.sleep(millis(wait * (0.7 + core.random(600) / 1000)));
+      if (core.parts.get(part.id) !== part) return;
+    }
+    await core.exclusive(() => {
+      if (part.machines.get(m.id) === m) this.onGone(part, m);
+    });
+    const key = machineKey(m.id);
+    for (let i = 0; i < 20; i += 1) {
+      const version = core.view.version(key);
+      if (version === 0 || core.parts.get(part.id) !== part) return;
+      const result = await core.state.txn(
+        [{ key, version }, core.ownerCondition(part)],
+        [{ op: 'drop', key }],
+        Rank.handover,
+      );
+      if (result.kind === 'done')
+        return core.exclusive(() => core.view.learn(key, undefined, result.revision));
+      await core.sleep(millis(500));
+    }
+  }
+
+  async runCatalog(): Promise<never> {
+    for (;;) {
+      if (this.core.clock.now() - this.catalogAt > 60_000) await this.refreshCatalog();
+      await this.core.sleep(millis(this.core.types.size === 0 ? 500 : 5000));
+    }
+  }
+
+  private async refreshCatalog(): Promise<void> {
+    const { core } = this;
+    if (core.types.size === 0) this.useStored();
+    const types = await core.cloud.catalog();
+    if (!types || types.length === 0) return;
+    this.catalogAt = core.clock.now();
+    this.use(types);
+    await this.store(types);
+  }
+
+  /** The catalog is kept in the state service too, so that a restart while the cloud is away can decide. */
+  private useStored(): void {
+    const entry = this.core.view.get(CATALOG_KEY);
+    const types = entry ? decodeStored(entry.value) : null;
+    if (types) this.use(types);
+  }
+
+  private use(types: readonly MachineType[]): void {
+    for (const t of types) this.core.types.set(t.name, t);
+    this.core.wake();
+  }
+
+  private async store(types: readonly MachineType[]): Promise<void> {
+    const { core } = this;
+    const stored = core.view.get(CATALOG_KEY);
+    const names = (list: readonly MachineType[] | null): string =>
+      JSON.stringify(list?.map((t) => [t.name, t.cpus, t.zones]));
+    if (!core.view.loaded || (stored && names(decodeStored(stored.value)) === names(types))) return;
+    const value = { types };
+    if (Buffer.byteLength(JSON.stringify(value)) > core.settings.valueBytes) return;
+    const version = core.view.version(CATALOG_KEY);
+    await core.state.txn(
+      [{ key: CATALOG_KEY, version }],
+      [{ op: 'put', key: CATALOG_KEY, value }],
+      Rank.progress,
+    );
+  }
+
+  /** Machines that nobody uses: never booted, failed, or rented by a request that came late. */
+  async runList(): Promise<never> {
+    for (;;) {
+      await this.core.sleep(millis(LIST_GAP * (0.8 + this.core.random(400) / 1000)));
+      const listed = await this.core.cloud.list();
+      if (listed) await this.reviewList(listed);
+    }
+  }
+
+  private async reviewList(listed: readonly Listed[]): Promise<void> {
+    const { core } = this;
+    const now = core.clock.now();
+    const unwanted: MachineId[] = [];
+    const known = new Set(listed.map((l) => l.id));
+    for (const l of listed) {
+      const entry = core.view.get(machineKey(l.id));
+      const part = entry ? core.parts.get(decodeMachine(entry.value)?.part as PartId) : undefined;
+      const machine = part?.machines.get(l.id);
+      if (part && machine) {
+        if (l.state === 'failed' && !machine.returning) {
+          machine.returning = true;
+          void this.giveBack(part, machine);
+        }
+        continue;
+      }
+      const bootMs = (core.types.get(l.type)?.bootS ?? 60) * 1000;
+      const limit = l.state === 'failed' ? 0 : this.pending.has(l.id) ? 4 * bootMs : 5 * bootMs + 15_000;
+      if (!entry && l.ageS * 1000 > limit && this.strangerFor(l.id, now) > 3000) unwanted.push(l.id);
+    }
+    for (const id of this.strangers.keys()) if (!known.has(id)) this.strangers.delete(id);
+    for (const [id, p] of this.pending) {
+      if (now - p.at > 6 * (core.types.get(p.type)?.bootS ?? 60) * 1000) this.pending.delete(id);
+    }
+    if (unwanted.length === 0) return;
+    core.log.info({ machines: unwanted }, 'returning machines that nobody uses');
+    if (await core.cloud.giveBack(unwanted)) for (const id of unwanted) this.pending.delete(id);
+  }
+
+  private strangerFor(id: MachineId, now: SteadyMs): number {
+    const first = this.strangers.get(id) ?? now;
+    this.strangers.set(id, first);
+    return now - first;
+  }
+}
+
+function decodeStored(value: unknown): MachineType[] | null {
+  const types = (value as { types?: MachineType[] } | null)?.types;
+  return Array.isArray(types) && types.every((t) => typeof t.name === 'string' && typeof t.cpus === 'number')
+    ? types
+    : null;
+}
--- /dev/null
+++ b/src/flock/assign.ts
@@ -0,0 +1,88 @@
+/** Which part a new job's tasks are entrusted to, and in which zone those of a constrained job must be. */
+import type { Assignment } from '../jobs/record.js';
+import type { JobSpec } from '../jobs/spec.js';
+import type { PartId, SteadyMs, ZoneId } from '../units.js';
+import { capacityFor, reserve, willingList, type Offer, type Random } from './willing.js';
+
+export interface AssignContext {
+  readonly now: SteadyMs;
+  readonly home: PartId;
+  readonly homeZone: ZoneId;
+  readonly parts: readonly { part: PartId; zone: ZoneId }[];
+  readonly zones: readonly ZoneId[];
+  /** Announced room of every part, our own included. */
+  readonly offers: ReadonlyMap<PartId, Offer>;
+  readonly random: Random;
+}
+
+/** A zone that no machine is in: tasks of a spread job that no zone may take wait there. */
+const NOWHERE = '' as ZoneId;
+
+function capacityInZone(ctx: AssignContext, spec: JobSpec, zone: ZoneId): number {
+  let n = 0;
+  for (const o of ctx.offers.values()) if (o.expires > ctx.now) n += capacityFor(o, spec, zone);
+  return n;
+}
+
+/** The part that should place tasks in a zone: ours if it is there, else the one with most room there. */
+function partFor(ctx: AssignContext, spec: JobSpec, zone: ZoneId, count: number): PartId {
+  const own = ctx.offers.get(ctx.home);
+  if (ctx.homeZone === zone && own && capacityFor(own, spec, zone) >= count) return ctx.home;
+  const best = willingList(ctx.offers.values(), zone, spec, zone, ctx.now, ctx.random)[0];
+  if (best) return best.offer.part;
+  if (ctx.homeZone === zone) return ctx.home;
+  return ctx.parts.find((p) => p.zone === zone)?.part ?? ctx.home;
+}
+
+function pinned(ctx: AssignContext, spec: JobSpec, from: number, to: number, zone: ZoneId): Assignment {
+  const part = partFor(ctx, spec, zone, to - from);
+  const offer = ctx.offers.get(part);
+  if (offer) reserve(offer, spec, zone, to - from);
+  return { from, to, part, zone };
+}
+
+/** At most half of the tasks, rounded up, in one zone: fixed per task, so that any subset that runs is legal. */
+function spread(ctx: AssignContext, spec: JobSpec, zones: readonly ZoneId[]): Assignment[] {
+  const cap = Math.ceil(spec.tasks / 2);
+  const order = [...zones].sort((a, b) => capacityInZone(ctx, spec, b) - capacityInZone(ctx, spec, a));
+  const each = Math.min(cap, Math.ceil(spec.tasks / Math.max(1, order.length)));
+  const out: Assignment[] = [];
+  let at = 0;
+  for (const zone of order) {
+    const to = Math.min(spec.tasks, at + each);
+    if (to > at) out.push(pinned(ctx, spec, at, to, zone));
+    at = to;
+  }
+  if (at < spec.tasks) out.push({ from: at, to: spec.tasks, part: ctx.home, zone: NOWHERE });
+  return out;
+}
+
+/** Home first; what exceeds its free room goes to peers that announced some, nearest zone first. */
+function overflow(ctx: AssignContext, spec: JobSpec): Assignment[] {
+  const own = ctx.offers.get(ctx.home);
+  const here = own ? Math.min(spec.tasks, capacityFor(own, spec, null)) : spec.tasks;
+  if (own) reserve(own, spec, null, here);
+  const out: Assignment[] = here > 0 ? [{ from: 0, to: here, part: ctx.home, zone: null }] : [];
+  let at = here;
+  const others = [...ctx.offers.values()].filter((o) => o.part !== ctx.home);
+  for (const { offer, capacity } of willingList(others, ctx.homeZone, spec, null, ctx.now, ctx.random)) {
+    if (at >= spec.tasks) break;
+    const to = Math.min(spec.tasks, at + capacity);
+    reserve(offer, spec, null, to - at);
+    out.push({ from: at, to, part: offer.part, zone: null });
+    at = to;
+  }
+  if (at < spec.tasks) out.push({ from: at, to: spec.tasks, part: ctx.home, zone: null });
+  return out;
+}
+
+export function assignJob(spec: JobSpec, ctx: AssignContext): Assignment[] {
+  const zones = spec.zone === null ? ctx.zones : [spec.zone];
+  if (spec.spread && spec.tasks > 1) return spread(ctx, spec, zones);
+  if (spec.oneZone) {
+    const order = [...zones].sort((a, b) => capacityInZone(ctx, spec, b) - capacityInZone(ctx, spec, a));
+    return [pinned(ctx, spec, 0, spec.tasks, order[0] ?? ctx.homeZone)];
+  }
+  if (spec.zone !== null) return [pinned(ctx, spec, 0, spec.tasks, spec.zone)];
+  return overflow(ctx, spec);
+}
--- /dev/null
+++ b/src/flock/willing.ts
@@ -0,0 +1,74 @@
+/** Announcements of free room and the willing list made of them: nearest zone first, then most free room. */
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import type { JobSpec } from '../jobs/spec.js';
+import { allowed, fits } from '../placement/plan.js';
+import type { Room } from '../parts/model.js';
+import type { PartId, SteadyMs, TypeId, ZoneId } from '../units.js';
+
+export interface FreeMachine extends Room {
+  readonly type: TypeId;
+  readonly zone: ZoneId;
+  readonly spot: boolean;
+}
+
+export interface Offer {
+  readonly part: PartId;
+  readonly zone: ZoneId;
+  readonly expires: SteadyMs;
+  /** Room left as far as we know: what we hand over is taken off until the next announcement. */
+  readonly machines: FreeMachine[];
+}
+
+export type Random = (below: number) => number;
+
+/** Seeded: the same run shuffles the same way. */
+export function seededRandom(seed: number): Random {
+  const generator = xoroshiro128plus(seed);
+  return (below) => (below <= 1 ? 0 : uniformInt(generator, 0, below - 1));
+}
+
+const roomFor = (offer: Offer, spec: JobSpec, pin: ZoneId | null): FreeMachine[] =>
+  offer.machines.filter((m) => fits(m, spec) && allowed(spec, m.type, m.zone, m.spot, pin));
+
+/** How many tasks like this fit into what is announced, by zone restriction. */
+export function capacityFor(offer: Offer, spec: JobSpec, pin: ZoneId | null): number {
+  let n = 0;
+  for (const m of roomFor(offer, spec, pin)) n += slotsIn(m, spec);
+  return n;
+}
+
+function slotsIn(m: Room, spec: JobSpec): number {
+  const by = (free: number, need: number): number => (need > 0 ? Math.floor(free / need + 1e-6) : 1000);
+  return Math.min(by(m.cpus, spec.cpus), by(m.gpus, spec.gpus), by(m.memoryGb, spec.memoryGb));
+}
+
+/** Takes room for `count` tasks off the offer, so that the next hand-over does not promise it again. */
+export function reserve(offer: Offer, spec: JobSpec, pin: ZoneId | null, count: number): void {
+  let left = count;
+  for (const m of roomFor(offer, spec, pin)) {
+    const n = Math.min(left, slotsIn(m, spec));
+    m.cpus -= n * spec.cpus;
+    m.gpus -= n * spec.gpus;
+    m.memoryGb -= n * spec.memoryGb;
+    left -= n;
+    if (left <= 0) return;
+  }
+}
+
+/** Unexpired offers with room for such a task: own zone first, then most free room; equals in random order. */
+export function willingList(
+  offers: Iterable<Offer>,
+  from: ZoneId,
+  spec: JobSpec,
+  pin: ZoneId | null,
+  now: SteadyMs,
+  random: Random,
+): { offer: Offer; capacity: number }[] {
+  const open = [...offers]
+    .filter((o) => o.expires > now)
+    .map((offer) => ({ offer, capacity: capacityFor(offer, spec, pin), draw: random(1 << 20) }))
+    .filter((o) => o.capacity > 0);
+  const far = (o: Offer): number => (o.zone === from ? 0 : 1);
+  return open.sort((a, b) => far(a.offer) - far(b.offer) || b.capacity - a.capacity || a.draw - b.draw);
+}
--- /dev/null
+++ b/src/jobs/desk.ts
@@ -0,0 +1,280 @@
+/** Users' requests: submit, status, abort. Every answer rests on a fresh word of the state service. */
+import type { MachineType } from '../cloud/wire.js';
+import type { Core } from '../core.js';
+import type { Answer } from '../http/server.js';
+import { allowed } from '../placement/plan.js';
+import { Rank } from '../state/budget.js';
+import type { Condition } from '../state/wire.js';
+import type { JobId, StateKey } from '../units.js';
+import { millis, NO_REVISION } from '../units.js';
+import { RangeSet } from '../ranges.js';
+import {
+  decodeFinal,
+  decodeRecord,
+  encodeFinal,
+  encodeRecord,
+  finalKey,
+  liveKey,
+  recordBytes,
+  type Assignment,
+  type FinalState,
+  type JobRecord,
+} from './record.js';
+import type { JobSpec } from './spec.js';
+import { decodeSubmission, encodeAccepted, encodeStatus, isJobId, type JobStatus } from './wire.js';
+
+/** What the state service says of a job now. */
+export type Standing =
+  | { readonly kind: 'live'; readonly record: JobRecord }
+  | { readonly kind: 'final'; readonly state: FinalState }
+  | { readonly kind: 'absent' }
+  | { readonly kind: 'unclear' };
+
+const BUSY: Answer = {
+  status: 503,
+  body: { error: 'state service not available, try again' },
+  retryAfterS: 1,
+};
+const FINALS_KEPT = 20_000;
+const POLL_GAP = millis(60);
+const MAX_POLLS_WAITING = 2000;
+
+/** Why a job can never run here, or null. */
+export function impossible(
+  spec: JobSpec,
+  types: Iterable<MachineType>,
+  core: Pick<Core, 'settings'>,
+): string | null {
+  const team = core.settings.teams.get(spec.team);
+  if (!team) return `unknown team ${spec.team}`;
+  const count = spec.shape === 'service' ? spec.tasks : 1;
+  if (spec.cpus * count > team.cpusMax + 1e-9) return `needs more CPUs than the limit of team ${spec.team}`;
+  if (spec.gpus * count > team.gpusMax + 1e-9) return `needs more GPUs than the limit of team ${spec.team}`;
+  for (const t of types) {
+    if (t.cpus < spec.cpus || t.gpus < spec.gpus || t.memoryGb < spec.memoryGb) continue;
+    if (t.zones.some((z) => allowed(spec, t.name, z, false, null))) return null;
+  }
+  return 'no allowed machine type has room for a task';
+}
+
+interface Poll {
+  readonly id: JobId;
+  readonly resolve: (s: Standing) => void;
+  tries: number;
+}
+
+export class JobDesk {
+  private readonly finals = new Map<JobId, FinalState>();
+  private polls: Poll[] = [];
+  private polling = false;
+
+  constructor(
+    private readonly core: Core,
+    /** Where a new job's tasks go first. */
+    private readonly assign: (spec: JobSpec) => Assignment[],
+  ) {}
+
+  async submit(body: Buffer): Promise<Answer> {
+    const submission = decodeSubmission(body);
+    if (submission.kind === 'malformed') return this.refuse(submission.id, 400, submission.error);
+    const spec = submission.spec;
+    const final = this.finals.get(spec.id);
+    if (final) return { status: 200, body: encodeAccepted(spec.id, final) };
+    if (!this.core.view.loaded || this.core.types.size === 0 || !this.core.stateHealthy()) return BUSY;
+    if (this.core.live.has(spec.id)) return this.known(spec.id);
+    const why = impossible(spec, this.core.types.values(), this.core);
+    if (why !== null) return this.refuse(spec.id, 422, why);
+    return this.create(spec);
+  }
+
+  /** A known job is never refused, whatever the body says now. */
+  private async refuse(id: JobId | null, status: number, error: string): Promise<Answer> {
+    if (id === null) return { status, body: { error } };
+    const standing = await this.standing(id);
+    if (standing.kind === 'absent') return { status, body: { error } };
+    return this.acceptedAnswer(id, standing);
+  }
+
+  private async known(id: JobId): Promise<Answer> {
+    const standing = await this.standing(id);
+    return standing.kind === 'absent' ? BUSY : this.acceptedAnswer(id, standing);
+  }
+
+  private acceptedAnswer(id: JobId, standing: Standing): Answer {
+    if (standing.kind === 'unclear' || standing.kind === 'absent') return BUSY;
+    const state = standing.kind === 'final' ? standing.state : this.statusOf(id, standing.record).state;
+    return { status: 200, body: encodeAccepted(id, state) };
+  }
+
+  private async create(spec: JobSpec): Promise<Answer> {
+    const record: JobRecord = {
+      spec,
+      home: this.core.settings.part,
+      assignments: this.assign(spec),
+      done: RangeSet.empty(),
+    };
+    if (recordBytes(record) > this.core.settings.valueBytes) {
+      return { status: 400, body: { error: 'the description is too long' } };
+    }
+    const value = encodeRecord(record);
+    const when = [liveKey(spec.id), finalKey(spec.id)].map((key) => ({ key, version: NO_REVISION }));
+    const change = { op: 'put', key: liveKey(spec.id), value } as const;
+    let result = await this.core.state.txn(when, [change], Rank.submit);
+    // Unclear: a second try either creates the job or shows that it stands.
+    if (result.kind === 'unknown') result = await this.core.state.txn(when, [change], Rank.submit);
+    if (result.kind === 'conflict') return this.known(spec.id);
+    if (result.kind !== 'done') return BUSY;
+    const revision = result.revision;
+    await this.core.exclusive(() => this.core.view.learn(change.key, value, revision));
+    this.core.log.info(
+      { job: spec.id, team: spec.team, tasks: spec.tasks, shape: spec.shape },
+      'job accepted',
+    );
+    return { status: 201, body: encodeAccepted(spec.id, 'pending') };
+  }
+
+  async status(id: string): Promise<Answer> {
+    if (!isJobId(id)) return { status: 404, body: { error: 'no such job' } };
+    const standing = await this.standing(id);
+    if (standing.kind === 'unclear') return BUSY;
+    if (standing.kind === 'absent') return { status: 404, body: { error: 'no such job' } };
+    if (standing.kind === 'live')
+      return { status: 200, body: encodeStatus(this.statusOf(id, standing.record)) };
+    const tasks = standing.state === 'done' ? (this.core.past.get(id)?.tasks ?? 0) : 0;
+    return { status: 200, body: encodeStatus({ id, state: standing.state, done: tasks, running: 0 }) };
+  }
+
+  private statusOf(id: JobId, record: JobRecord): JobStatus {
+    let running = 0;
+    let done = record.done.size;
+    for (const part of this.core.parts.values()) {
+      done += part.jobs.get(id)?.finished.size ?? 0;
+      for (const b of part.bound.values()) if (b.job === id && b.phase === 'running') running += 1;
+    }
+    for (const peer of this.core.peers.values()) running += peer.running.get(id) ?? 0;
+    running = Math.min(running, record.spec.tasks - done);
+    return { id, state: running > 0 ? 'running' : 'pending', done, running: Math.max(0, running) };
+  }
+
+  async abort(id: string): Promise<Answer> {
+    if (!isJobId(id)) return { status: 404, body: { error: 'no such job' } };
+    for (let i = 0; i < 5; i += 1) {
+      const version = this.core.live.has(id) && i === 0 ? this.core.view.version(liveKey(id)) : NO_REVISION;
+      const answer = version === NO_REVISION ? await this.abortFresh(id) : await this.abortAt(id, version);
+      if (answer) return answer;
+    }
+    return BUSY;
+  }
+
+  private async abortFresh(id: JobId): Promise<Answer | null> {
+    const standing = await this.read(id);
+    if (standing.kind === 'unclear') return BUSY;
+    if (standing.kind === 'absent') return { status: 404, body: { error: 'no such job' } };
+    if (standing.kind === 'final') return { status: 200, body: encodeAccepted(id, standing.state) };
+    return this.abortAt(id, this.core.view.version(liveKey(id)));
+  }
+
+  /** null: the record has changed since that version. */
+  private async abortAt(id: JobId, version: Condition['version']): Promise<Answer | null> {
+    const result = await this.core.state.txn(
+      [{ key: liveKey(id), version }],
+      [
+        { op: 'drop', key: liveKey(id) },
+        { op: 'put', key: finalKey(id), value: encodeFinal('cancelled') },
+      ],
+      Rank.abort,
+    );
+    if (result.kind === 'conflict' || result.kind === 'unknown') return null;
+    if (result.kind === 'refused') return BUSY;
+    this.keepFinal(id, 'cancelled');
+    await this.core.exclusive(() => this.core.view.learn(liveKey(id), undefined, result.revision));
+    this.core.log.info({ job: id }, 'job cancelled');
+    return { status: 200, body: encodeAccepted(id, 'cancelled') };
+  }
+
+  keepFinal(id: JobId, state: FinalState): void {
+    this.finals.set(id, state);
+    if (this.finals.size > FINALS_KEPT) this.finals.delete(this.finals.keys().next().value as JobId);
+  }
+
+  /**
+   * What holds now. Many polls share one transaction that only compares: if every version in our view still
+   * stands, the view is fresh for all of them.
+   */
+  private standing(id: JobId): Promise<Standing> {
+    const final = this.finals.get(id);
+    if (final) return Promise.resolve({ kind: 'final', state: final });
+    if (!this.core.stateHealthy() || this.polls.length >= MAX_POLLS_WAITING)
+      return Promise.resolve({ kind: 'unclear' });
+    return new Promise((resolve) => {
+      this.polls.push({ id, resolve, tries: 0 });
+      void this.runPolls();
+    });
+  }
+
+  private async runPolls(): Promise<void> {
+    if (this.polling) return;
+    this.polling = true;
+    while (this.polls.length > 0) {
+      await this.core.sleep(POLL_GAP);
+      const batch = this.polls.splice(0, this.core.settings.txnOps * 2);
+      await this.checkBatch(batch);
+    }
+    this.polling = false;
+  }
+
+  private viewed(id: JobId): Standing {
+    const record = this.core.live.get(id);
+    if (record) return { kind: 'live', record };
+    return { kind: this.core.view.version(liveKey(id)) === NO_REVISION ? 'absent' : 'unclear' };
+  }
+
+  private conditionsFor(id: JobId): Condition[] {
+    const live = { key: liveKey(id), version: this.core.view.version(liveKey(id)) };
+    return live.version === NO_REVISION ? [live, { key: finalKey(id), version: NO_REVISION }] : [live];
+  }
+
+  private async checkBatch(batch: readonly Poll[]): Promise<void> {
+    const seen = new Map(batch.map((p) => [p.id, this.viewed(p.id)] as const));
+    const conditions = new Map<StateKey, Condition>();
+    for (const p of batch) for (const c of this.conditionsFor(p.id)) conditions.set(c.key, c);
+    const result = await this.core.state.txn([...conditions.values()], [], Rank.submit);
+    if (result.kind === 'done') {
+      for (const p of batch) p.resolve(seen.get(p.id) as Standing);
+      return;
+    }
+    if (result.kind !== 'conflict') {
+      for (const p of batch) p.resolve({ kind: 'unclear' });
+      return;
+    }
+    const failed = new Set(result.failed);
+    const reads: Promise<void>[] = [];
+    for (const p of batch) {
+      p.tries += 1;
+      const stands = !failed.has(liveKey(p.id)) && !failed.has(finalKey(p.id));
+      if (stands && p.tries < 4) this.polls.push(p);
+      else reads.push(this.read(p.id).then(p.resolve));
+    }
+    await Promise.all(reads);
+  }
+
+  /** Reads the record, then the final state: a job that ends in between is found by the second read. */
+  private async read(id: JobId): Promise<Standing> {
+    const live = await this.core.state.get(liveKey(id), Rank.submit);
+    if (live.kind === 'failed') return { kind: 'unclear' };
+    if (live.kind === 'found') {
+      const record = decodeRecord(live.entry.value);
+      await this.core.exclusive(() =>
+        this.core.view.learn(live.entry.key, live.entry.value, live.entry.version),
+      );
+      return record ? { kind: 'live', record } : { kind: 'unclear' };
+    }
+    const final = await this.core.state.get(finalKey(id), Rank.submit);
+    if (final.kind === 'failed') return { kind: 'unclear' };
+    if (final.kind === 'absent') return { kind: 'absent' };
+    const state = decodeFinal(final.entry.value);
+    if (!state) return { kind: 'unclear' };
+    this.keepFinal(id, state);
+    return { kind: 'final', state };
+  }
+}
--- /dev/null
+++ b/src/jobs/wire.ts
@@ -0,0 +1,110 @@
+/** Users' messages, between their words and ours. */
+import * as v from 'valibot';
+import type { ImageId, JobId, Seconds, TeamId, TypeId, ZoneId } from '../units.js';
+import { Priority, type JobSpec } from './spec.js';
+
+const MAX_TASKS = 100_000;
+const ID = /^req-[0-9A-Za-z_-]{1,64}$/;
+
+const amount = v.pipe(v.number(), v.finite(), v.minValue(0), v.maxValue(1e9));
+const name = v.pipe(v.string(), v.minLength(1), v.maxLength(200));
+const maybe = <S extends v.GenericSchema>(schema: S) => v.optional(v.nullable(schema), null);
+
+const submission = v.object({
+  uid: v.pipe(v.string(), v.regex(ID)),
+  lane: name,
+  crew: name,
+  shape: v.picklist(['batch', 'standing']),
+  rank: v.picklist(['critical', 'urgent', 'standard', 'best_effort']),
+  legs: v.pipe(v.number(), v.integer(), v.minValue(1), v.maxValue(MAX_TASKS)),
+  vcpus: amount,
+  cards: amount,
+  memoryGb: amount,
+  cargo: name,
+  sizeGb: amount,
+  hulls: maybe(v.pipe(v.array(name), v.maxLength(64))),
+  harbor: maybe(name),
+  samePlace: v.boolean(),
+  apart: v.boolean(),
+  driftboats: v.boolean(),
+  passageS: amount,
+  moorS: amount,
+  stowS: amount,
+  tideS: maybe(amount),
+});
+
+const PRIORITIES: Record<string, Priority> = {
+  critical: Priority.critical,
+  urgent: Priority.urgent,
+  standard: Priority.standard,
+  best_effort: Priority.bestEffort,
+};
+
+export type Submission =
+  | { readonly kind: 'spec'; readonly spec: JobSpec }
+  /** Malformed; the id is given when at least that could be read. */
+  | { readonly kind: 'malformed'; readonly error: string; readonly id: JobId | null };
+
+export const isJobId = (text: string): text is JobId => ID.test(text);
+
+function idIn(data: unknown): JobId | null {
+  const id = typeof data === 'object' && data !== null ? (data as Record<string, unknown>)['uid'] : null;
+  return typeof id === 'string' && isJobId(id) ? id : null;
+}
+
+export function decodeSubmission(body: Buffer): Submission {
+  let data: unknown;
+  try {
+    data = JSON.parse(body.toString('utf8'));
+  } catch {
+    return { kind: 'malformed', error: 'the body is not JSON', id: null };
+  }
+  const result = v.safeParse(submission, data, { abortEarly: true });
+  if (!result.success) {
+    const issue = result.issues[0];
+    const field = issue.path?.map((p) => String(p.key)).join('.') ?? 'body';
+    return { kind: 'malformed', error: `${field}: ${issue.message}`, id: idIn(data) };
+  }
+  return { kind: 'spec', spec: toSpec(result.output) };
+}
+
+function toSpec(s: v.InferOutput<typeof submission>): JobSpec {
+  return {
+    id: s.uid as JobId,
+    lane: s.lane,
+    team: s.crew as TeamId,
+    shape: s.shape === 'batch' ? 'array' : 'service',
+    priority: PRIORITIES[s.rank] as Priority,
+    tasks: s.legs,
+    cpus: s.vcpus,
+    gpus: s.cards,
+    memoryGb: s.memoryGb,
+    types: s.hulls as TypeId[] | null,
+    zone: s.harbor as ZoneId | null,
+    oneZone: s.samePlace,
+    spread: s.apart,
+    spot: s.driftboats,
+    image: s.cargo as ImageId,
+    imageGb: s.sizeGb,
+    estimateS: s.passageS as Seconds,
+    checkpointS: s.moorS as Seconds,
+    saveS: s.stowS as Seconds,
+    deadlineS: s.tideS as Seconds | null,
+  };
+}
+
+export interface JobStatus {
+  readonly id: JobId;
+  readonly state: 'pending' | 'running' | 'done' | 'cancelled';
+  readonly done: number;
+  readonly running: number;
+}
+
+export const encodeAccepted = (id: JobId, state: JobStatus['state']): unknown => ({ uid: id, status: state });
+
+export const encodeStatus = (s: JobStatus): unknown => ({
+  uid: s.id,
+  status: s.state,
+  done: s.done,
+  running: s.running,
+});
--- /dev/null
+++ b/src/parts/ownership.ts
@@ -0,0 +1,329 @@
+/** Who owns which part: being alive, claiming, taking over, giving up, raising the token. */
+import type { Core } from '../core.js';
+import { RangeSet } from '../ranges.js';
+import { Rank } from '../state/budget.js';
+import type { Incarnation, LeaseId, NodeId, PartId, Revision, SteadyMs, Token } from '../units.js';
+import { millis, partId, steady } from '../units.js';
+import {
+  decodeMachine,
+  decodePart,
+  decodeToken,
+  aliveKey,
+  MACHINES,
+  PARTS,
+  partKey,
+  TOKEN_KEY,
+} from './records.js';
+import { newMachine, Part, syncJob } from './model.js';
+
+/** What a decision on one part looks at. */
+export interface ClaimFacts {
+  readonly now: SteadyMs;
+  readonly me: NodeId;
+  readonly incarnation: Incarnation;
+  readonly home: NodeId;
+  /** undefined: nobody ever owned it. */
+  readonly owner: NodeId | null | undefined;
+  readonly ownerIncarnation: Incarnation | null;
+  readonly ownerAlive: boolean;
+  readonly homeAlive: boolean;
+  /** This process has owned its home part before: it lost or released it. */
+  readonly ownedBefore: boolean;
+  /** Our view is current and our alive key stands since then. */
+  readonly steadySince: SteadyMs | null;
+  /** Machines of the part that came to us lately because their owner does not answer them. */
+  readonly strays: number;
+  readonly releasedByMe: boolean;
+  /** Workers of the part answered when asked lately. */
+  readonly workersAnswer: boolean;
+  /** How long the present situation has lasted. */
+  readonly lasted: number;
+}
+
+export type ClaimDecision = 'claim' | 'probe' | 'wait';
+
+const STEADY_FOR = 3000;
+const NEVER_OWNED_WAIT = 6000;
+const RESTART_WAIT = 4000;
+
+/** The paper's replacement manager: a part whose owner is gone is claimed, and its home gets it back. */
+export function decideClaim(f: ClaimFacts): ClaimDecision {
+  if (f.owner === f.me && f.ownerIncarnation === f.incarnation) return 'wait';
+  if (f.steadySince === null) return 'wait';
+  if (f.home === f.me) {
+    if (!f.ownedBefore) return 'claim';
+    if (f.now - f.steadySince < STEADY_FOR) return 'wait';
+    return f.workersAnswer ? 'claim' : 'probe';
+  }
+  if (f.owner === undefined) return f.homeAlive || f.lasted < NEVER_OWNED_WAIT ? 'wait' : 'claim';
+  if (f.owner === null) return !f.releasedByMe && (f.strays > 0 || f.lasted > STEADY_FOR) ? 'claim' : 'wait';
+  if (f.ownerAlive) return 'wait';
+  // The owner came back as a new process: it claims for itself, unless it does not get so far.
+  if (f.homeAlive && f.home === f.owner) return f.lasted > RESTART_WAIT ? 'claim' : 'wait';
+  return 'claim';
+}
+
+interface Watchful {
+  situation: string;
+  since: SteadyMs;
+  delay: number;
+}
+
+export class Ownership {
+  private lease: LeaseId | null = null;
+  private leaseOk: SteadyMs | null = null;
+  private aliveWritten = false;
+  private readonly watchful = new Map<PartId, Watchful>();
+  private readonly released = new Set<PartId>();
+  private readonly busy = new Set<PartId>();
+  private ownedBefore = false;
+  private workersAnswerAt = steady(-1e12);
+  /** Recent visits of machines whose owner is another controller, by part. */
+  readonly strays = new Map<PartId, Map<string, SteadyMs>>();
+
+  constructor(
+    private readonly core: Core,
+    private readonly probe: (p: PartId) => Promise<boolean>,
+  ) {}
+
+  async runAlive(): Promise<never> {
+    const ttl = this.core.tuning.aliveTtl;
+    for (;;) {
+      const asked = this.core.clock.now();
+      const ok = await this.keepAlive();
+      if (ok) this.leaseOk ??= asked;
+      else if (!this.lease) this.leaseOk = null;
+      await this.core.sleep(millis(ok ? ttl / 3 : 300 + this.core.random(200)));
+    }
+  }
+
+  private async keepAlive(): Promise<boolean> {
+    const { state, tuning, settings, incarnation } = this.core;
+    if (this.lease === null) {
+      this.lease = await state.grantLease(tuning.aliveTtl);
+      this.aliveWritten = false;
+      if (this.lease === null) return false;
+    } else {
+      const renewed = await state.renewLease(this.lease);
+      if (renewed === 'gone') {
+        this.lease = null;
+        this.leaseOk = null;
+        return false;
+      }
+      if (renewed === 'failed') return false;
+    }
+    if (this.aliveWritten) return true;
+    const change = {
+      op: 'put',
+      key: aliveKey(settings.node),
+      value: { incarnation },
+      lease: this.lease,
+    } as const;
+    const result = await state.txn([], [change], Rank.ownership);
+    this.aliveWritten = result.kind === 'done';
+    if (result.kind === 'refused') this.lease = null;
+    return this.aliveWritten;
+  }
+
+  /** Looks at every part; called a few times a second. */
+  tick(): void {
+    const now = this.core.clock.now();
+    if (!this.core.view.loaded) return;
+    for (const { part, node } of this.core.settings.parts) {
+      if (this.busy.has(part)) continue;
+      const facts = this.facts(part, node, now);
+      const decision = decideClaim(facts);
+      if (decision === 'wait') continue;
+      this.busy.add(part);
+      const work = decision === 'claim' ? this.claim(part) : this.askWorkers(part);
+      void work.finally(() => this.busy.delete(part));
+    }
+    this.releaseUnreachable(now);
+  }
+
+  private facts(part: PartId, home: NodeId, now: SteadyMs): ClaimFacts {
+    const { core } = this;
+    const entry = core.view.get(partKey(part));
+    const record = entry ? decodePart(entry.value) : null;
+    const owner = entry ? (record?.owner ?? null) : undefined;
+    const ownerIncarnation = record?.incarnation ?? null;
+    const ownerAlive = typeof owner === 'string' && core.isAlive(owner, ownerIncarnation);
+    const homeAlive = core.isAlive(home, null);
+    const current = now - core.view.confirmed < core.tuning.followBlock + 1500;
+    return {
+      now,
+      me: core.settings.node,
+      incarnation: core.incarnation,
+      home,
+      owner,
+      ownerIncarnation,
+      ownerAlive,
+      homeAlive,
+      ownedBefore: this.ownedBefore,
+      steadySince: current ? this.leaseOk : null,
+      strays: this.strayCount(part, now),
+      releasedByMe: this.released.has(part),
+      workersAnswer: now - this.workersAnswerAt < 2000,
+      lasted: this.lasted(part, `${owner}/${ownerIncarnation}/${ownerAlive}/${homeAlive}`, now, home),
+    };
+  }
+
+  /** Time in the same situation, less a delay that differs between controllers: nearest zone first. */
+  private lasted(part: PartId, situation: string, now: SteadyMs, home: NodeId): number {
+    let w = this.watchful.get(part);
+    if (!w || w.situation !== situation) {
+      const near = this.core.settings.parts.find((p) => p.node === home)?.zone === this.core.settings.zone;
+      w = { situation, since: now, delay: (near ? 0 : 250) + this.core.random(150) };
+      this.watchful.set(part, w);
+    }
+    return now - w.since - w.delay;
+  }
+
+  private strayCount(part: PartId, now: SteadyMs): number {
+    const visits = this.strays.get(part);
+    if (!visits) return 0;
+    for (const [m, at] of visits) if (now - at > 6000) visits.delete(m);
+    return visits.size;
+  }
+
+  strayCounts(): Map<PartId, number> {
+    const now = this.core.clock.now();
+    const out = new Map<PartId, number>();
+    for (const part of this.strays.keys()) {
+      const n = this.strayCount(part, now);
+      if (n > 0) out.set(part, n);
+    }
+    return out;
+  }
+
+  noteStray(part: PartId, machine: string): void {
+    const visits = this.strays.get(part) ?? new Map<string, SteadyMs>();
+    visits.set(machine, this.core.clock.now());
+    this.strays.set(part, visits);
+  }
+
+  private async claim(part: PartId): Promise<void> {
+    const { core } = this;
+    const w = this.watchful.get(part);
+    if (w && core.settings.part !== part && core.clock.now() - w.since < w.delay) return;
+    const token = (decodeToken(core.view.get(TOKEN_KEY)?.value) + 1) as Token;
+    const value = { owner: core.settings.node, incarnation: core.incarnation, token };
+    const result = await core.settle(
+      [
+        { key: TOKEN_KEY, version: core.view.version(TOKEN_KEY) },
+        { key: partKey(part), version: core.view.version(partKey(part)) },
+      ],
+      [
+        { op: 'put', key: TOKEN_KEY, value: { token } },
+        { op: 'put', key: partKey(part), value },
+      ],
+      Rank.ownership,
+    );
+    core.log.info({ part, token, result: result.kind }, 'claim');
+    if (result.kind !== 'done') await core.sleep(millis(100 + core.random(150)));
+  }
+
+  /** A higher token for a part we own: makes every unresolved direct order of ours void. */
+  async raise(part: Part): Promise<void> {
+    if (this.busy.has(part.id)) return;
+    this.busy.add(part.id);
+    try {
+      await this.claim(part.id);
+    } finally {
+      this.busy.delete(part.id);
+    }
+  }
+
+  private async askWorkers(part: PartId): Promise<void> {
+    if (await this.probe(part)) this.workersAnswerAt = this.core.clock.now();
+    else await this.core.sleep(millis(2000));
+  }
+
+  /** Most of our machines are silent: whoever hears them should command them. */
+  private releaseUnreachable(now: SteadyMs): void {
+    for (const part of this.core.parts.values()) {
+      if (this.busy.has(part.id) || now - part.claimedAt < 8000) continue;
+      const limit = Math.max(3.2 * this.core.reportMs, 4500);
+      const machines = [...part.machines.values()].filter((m) => !m.returning && now - m.since > limit);
+      const silent = machines.filter((m) => m.lastReport === null || now - m.lastReport > limit);
+      if (machines.length < 2 || silent.length * 3 < machines.length * 2) continue;
+      if (!this.othersDoBetter(part.id)) continue;
+      this.busy.add(part.id);
+      void this.release(part, silent.length, machines.length).finally(() => this.busy.delete(part.id));
+    }
+  }
+
+  /** Peers hear the part's machines, or we hear no peer: it is we who are cut off. */
+  private othersDoBetter(part: PartId): boolean {
+    const { settings, peers } = this.core;
+    if (settings.peers.length === 0) return false;
+    const heard = settings.peers.filter((p) => this.core.heard(p.node, millis(3000)));
+    if (heard.length === 0) return true;
+    return heard.some((p) => (peers.get(p.node)?.strays.get(part) ?? 0) > 0);
+  }
+
+  private async release(part: Part, silent: number, machines: number): Promise<void> {
+    const { core } = this;
+    core.log.info({ part: part.id, silent, machines }, 'releasing a part whose workers do not reach us');
+    this.released.add(part.id);
+    const value = { owner: null, incarnation: null, token: part.token };
+    const result = await core.settle(
+      [core.ownerCondition(part)],
+      [{ op: 'put', key: partKey(part.id), value }],
+      Rank.ownership,
+    );
+    if (result.kind !== 'done') this.released.delete(part.id);
+  }
+
+  /** The view shows a change of a part: owned means the store says that it is ours. */
+  onPart(key: string, value: unknown, version: Revision): void {
+    const { core } = this;
+    const id = partId(Number(key.slice(PARTS.length)));
+    const record = value === undefined ? null : decodePart(value);
+    const mine = record !== null && record.incarnation === core.incarnation;
+    const known = core.parts.get(id);
+    if (!mine) {
+      if (known) core.log.info({ part: id, owner: record?.owner ?? null }, 'part lost');
+      core.parts.delete(id);
+      if (record?.owner) this.released.delete(id);
+      return;
+    }
+    if (id === core.settings.part) this.ownedBefore = true;
+    this.released.delete(id);
+    if (known) {
+      known.token = record.token;
+      known.version = version;
+      return;
+    }
+    this.open(id, record.token, version);
+  }
+
+  private open(id: PartId, token: Token, version: Revision): void {
+    const { core } = this;
+    const now = core.clock.now();
+    const part = new Part(id, token, version, now);
+    for (const entry of core.view.under(MACHINES)) {
+      const m = decodeMachine(entry.value);
+      if (!m || m.part !== id) continue;
+      const name = entry.key.slice(MACHINES.length) as never;
+      part.machines.set(name, newMachine(name, m.address, m.type, m.zone, m.spot, now, false));
+    }
+    core.parts.set(id, part);
+    for (const record of core.live.values()) {
+      syncJob(part, record, core.view.version(`c/live/${record.spec.id}` as never), now, true);
+    }
+    core.log.info({ part: id, token, machines: part.machines.size, jobs: part.jobs.size }, 'part owned');
+  }
+}
+
+/** All of a part's machines are accounted for: what was not seen is on none of them. */
+export function accountFor(part: Part): boolean {
+  if (part.accounted) return false;
+  for (const m of part.machines.values()) if (!m.settled) return false;
+  part.accounted = true;
+  for (const job of part.jobs.values()) {
+    job.waiting.addAll(job.frozen);
+    job.frozen.removeAll(RangeSet.of(job.frozen.ranges()));
+  }
+  return true;
+}
--- /dev/null
+++ b/src/placement/plan.ts
@@ -0,0 +1,331 @@
+/**
+ * One placement round of a part: which waiting tasks start where, which tasks stop to make room, and what stays
+ * without room. Pure: it reads the part and returns decisions.
+ */
+import type { MachineType } from '../cloud/wire.js';
+import { Priority, type JobSpec } from '../jobs/spec.js';
+import {
+  pinOf,
+  roomOn,
+  usageOf,
+  type Binding,
+  type Machine,
+  type Part,
+  type PartJob,
+  type Room,
+} from '../parts/model.js';
+import type { Team } from '../settings/settings.js';
+import type { MachineId, SteadyMs, TeamId, TypeId, ZoneId } from '../units.js';
+
+export interface PlanContext {
+  readonly now: SteadyMs;
+  readonly types: ReadonlyMap<TypeId, MachineType>;
+  readonly teams: ReadonlyMap<TeamId, Team>;
+  /** This part's share of the team's limit. */
+  readonly share: (team: TeamId) => { cpus: number; gpus: number };
+  /** CPUs of the team in use on other parts, by their announcements. */
+  readonly usedElsewhere: (team: TeamId) => number;
+  /** Has a peer announced room for a task like this? Then it is asked before anybody is stopped. */
+  readonly peerHasRoom: (spec: JobSpec) => boolean;
+  /** Actual over estimated run time that this lane has shown. */
+  readonly correction: (lane: string) => number;
+  readonly reportMs: number;
+}
+
+export interface Start {
+  readonly job: PartJob;
+  readonly index: number;
+  readonly machine: Machine;
+}
+
+export interface Stop {
+  readonly binding: Binding;
+  readonly grace: number;
+}
+
+export interface Unplaced {
+  readonly job: PartJob;
+  readonly reason: 'room' | 'limit';
+  readonly indices: readonly number[];
+}
+
+export interface Plan {
+  readonly starts: Start[];
+  readonly stops: Stop[];
+  readonly holds: { job: PartJob; index: number; machine: MachineId }[];
+  readonly unplaced: Unplaced[];
+}
+
+const MAX_STARTS = 300;
+const MAX_VICTIM_SEARCHES = 12;
+const UNPLACED_SHOWN = 200;
+/** How long a task waits for a peer with announced room, or for room to come free, before others are stopped. */
+const CRITICAL_PATIENCE = 400;
+const PATIENCE = 1500;
+
+interface Scratch {
+  readonly room: Map<MachineId, Room>;
+  readonly used: Map<TeamId, { cpus: number; gpus: number }>;
+  readonly anybody: { cpus: number; gpus: number };
+  readonly stopping: Set<Binding>;
+  searches: number;
+}
+
+export function fits(room: Room, spec: JobSpec): boolean {
+  const slack = 1e-6;
+  return (
+    room.cpus + slack >= spec.cpus && room.gpus + slack >= spec.gpus && room.memoryGb + slack >= spec.memoryGb
+  );
+}
+
+/** May a task of this job start on such a machine at all? */
+export function allowed(
+  spec: JobSpec,
+  type: TypeId,
+  zone: ZoneId,
+  spot: boolean,
+  pin: ZoneId | null,
+): boolean {
+  if (spot && !spec.spot) return false;
+  if (spec.types && !spec.types.includes(type)) return false;
+  if (spec.zone !== null && spec.zone !== zone) return false;
+  return pin === null || pin === zone;
+}
+
+export function usable(m: Machine, ctx: Pick<PlanContext, 'now' | 'reportMs'>): boolean {
+  if (!m.settled || m.draining || m.returning || m.takenAt !== null || ctx.now < m.avoidUntil) return false;
+  return m.lastHeard !== null && ctx.now - m.lastHeard < ctx.reportMs * 2 + 1000;
+}
+
+function deadlineAt(job: PartJob): number {
+  return job.spec.deadlineS === null ? Infinity : job.firstSeen + job.spec.deadlineS * 1000;
+}
+
+interface Ranked {
+  readonly job: PartJob;
+  readonly key: readonly number[];
+}
+
+/** Critical first, then work within its team's guarantee, then by priority, then the deadlines that can be met. */
+function rank(job: PartJob, s: Scratch, ctx: PlanContext): Ranked {
+  const spec = job.spec;
+  const estimate = spec.estimateS * ctx.correction(spec.lane) * 1000;
+  const due = deadlineAt(job);
+  const late = due < ctx.now + estimate ? 1 : 0;
+  const key = [
+    spec.priority === Priority.critical ? 0 : 1,
+    withinGuarantee(spec, s, ctx) ? 0 : 1,
+    spec.priority,
+    late,
+    due === Infinity ? Number.MAX_SAFE_INTEGER : due,
+    job.firstSeen,
+  ];
+  return { job, key };
+}
+
+function byKey(a: Ranked, b: Ranked): number {
+  for (let i = 0; i < a.key.length; i += 1) {
+    const d = (a.key[i] as number) - (b.key[i] as number);
+    if (d !== 0) return d;
+  }
+  return a.job.id < b.job.id ? -1 : 1;
+}
+
+const usedHere = (s: Scratch, team: TeamId): { cpus: number; gpus: number } =>
+  s.used.get(team) ?? { cpus: 0, gpus: 0 };
+
+function withinGuarantee(spec: JobSpec, s: Scratch, ctx: PlanContext): boolean {
+  const team = ctx.teams.get(spec.team);
+  if (!team) return false;
+  return usedHere(s, spec.team).cpus + ctx.usedElsewhere(spec.team) + spec.cpus <= team.cpus + 1e-6;
+}
+
+function withinShare(spec: JobSpec, s: Scratch, ctx: PlanContext): boolean {
+  const used = usedHere(s, spec.team);
+  const share = ctx.share(spec.team);
+  const slack = 1e-6;
+  return (
+    used.cpus + s.anybody.cpus + spec.cpus <= share.cpus + slack &&
+    used.gpus + s.anybody.gpus + spec.gpus <= share.gpus + slack
+  );
+}
+
+export function planRound(part: Part, ctx: PlanContext): Plan {
+  const usage = usageOf(part, ctx.types);
+  const s: Scratch = {
+    room: new Map(),
+    used: usage.teams,
+    anybody: { cpus: usage.cpusAnybody, gpus: usage.gpusAnybody },
+    stopping: new Set(),
+    searches: 0,
+  };
+  for (const m of part.machines.values())
+    if (usable(m, ctx)) s.room.set(m.id, roomOn(m, ctx.types.get(m.type)));
+  keepHeldRoom(part, s, ctx);
+  const plan: Plan = { starts: [], stops: [], holds: [], unplaced: [] };
+  const waiting = [...part.jobs.values()].filter((j) => !j.waiting.isEmpty && ctx.now >= j.notBefore);
+  const ranked = waiting.map((j) => rank(j, s, ctx)).sort(byKey);
+  for (const { job } of ranked) placeJob(part, job, s, ctx, plan);
+  return plan;
+}
+
+function keepHeldRoom(part: Part, s: Scratch, ctx: PlanContext): void {
+  for (const job of part.jobs.values()) {
+    for (const [index, hold] of job.holds) {
+      if (ctx.now >= hold.until || !job.waiting.has(index)) job.holds.delete(index);
+      else take(s.room.get(hold.machine), job.spec, 1);
+    }
+  }
+}
+
+function take(room: Room | undefined, spec: JobSpec, sign: 1 | -1): void {
+  if (!room) return;
+  room.cpus -= sign * spec.cpus;
+  room.gpus -= sign * spec.gpus;
+  room.memoryGb -= sign * spec.memoryGb;
+}
+
+function charge(s: Scratch, spec: JobSpec): void {
+  const used = usedHere(s, spec.team);
+  s.used.set(spec.team, { cpus: used.cpus + spec.cpus, gpus: used.gpus + spec.gpus });
+}
+
+function placeJob(part: Part, job: PartJob, s: Scratch, ctx: PlanContext, plan: Plan): void {
+  const noRoom: number[] = [];
+  const noLimit: number[] = [];
+  const fullPins = new Set<ZoneId | null>();
+  for (const index of job.waiting) {
+    if (noRoom.length + noLimit.length >= UNPLACED_SHOWN || plan.starts.length >= MAX_STARTS) break;
+    if (!withinShare(job.spec, s, ctx)) {
+      noLimit.push(index);
+      continue;
+    }
+    const pin = pinOf(job, index);
+    const hold = job.holds.get(index);
+    if (hold) take(s.room.get(hold.machine), job.spec, -1);
+    const machine = fullPins.has(pin) && !hold ? null : choose(part, job, pin, s, ctx);
+    if (machine) {
+      if (hold) job.holds.delete(index);
+      take(s.room.get(machine.id), job.spec, 1);
+      charge(s, job.spec);
+      plan.starts.push({ job, index, machine });
+      continue;
+    }
+    if (hold) take(s.room.get(hold.machine), job.spec, 1);
+    else {
+      fullPins.add(pin);
+      if (preempt(part, job, index, pin, s, ctx, plan)) continue;
+    }
+    noRoom.push(index);
+  }
+  if (noRoom.length > 0) plan.unplaced.push({ job, reason: 'room', indices: noRoom });
+  if (noLimit.length > 0) plan.unplaced.push({ job, reason: 'limit', indices: noLimit });
+}
+
+/** The machine that holds the image, else the one with most free room. */
+function choose(part: Part, job: PartJob, pin: ZoneId | null, s: Scratch, ctx: PlanContext): Machine | null {
+  let best: Machine | null = null;
+  let bestKey: readonly [number, number, number] = [0, 0, 0];
+  for (const [id, room] of s.room) {
+    const m = part.machines.get(id);
+    if (!m || !fits(room, job.spec) || !allowed(job.spec, m.type, m.zone, m.spot, pin)) continue;
+    // A machine on which the job failed is the last choice for it.
+    const failed = job.errorMachines.has(id) ? 0 : 1;
+    const total = ctx.types.get(m.type)?.cpus ?? 1;
+    const key = [failed, m.images.has(job.spec.image) ? 1 : 0, room.cpus + room.cpus / total] as const;
+    if (
+      !best ||
+      key[0] > bestKey[0] ||
+      (key[0] === bestKey[0] && (key[1] > bestKey[1] || (key[1] === bestKey[1] && key[2] > bestKey[2])))
+    ) {
+      best = m;
+      bestKey = key;
+    }
+  }
+  return best;
+}
+
+/** Work lost when this task is stopped now, in CPU milliseconds. */
+export function lostWork(b: Binding, now: SteadyMs): number {
+  if (!b.spec) return 0;
+  if (b.runningSince === null) return 0.5 * b.spec.cpus * 1000;
+  const run = now - b.runningSince;
+  return b.spec.cpus * (b.spec.checkpointS > 0 ? Math.min(run, b.spec.saveS * 1000) : run);
+}
+
+function mayStop(b: Binding, job: PartJob, guaranteed: boolean, s: Scratch, ctx: PlanContext): boolean {
+  if (b.stop || !b.spec || s.stopping.has(b) || b.job === job.id) return false;
+  if (b.spec.priority > job.spec.priority) return true;
+  if (!guaranteed || b.spec.team === job.spec.team || b.spec.priority === Priority.critical) return false;
+  const theirs = ctx.teams.get(b.spec.team);
+  const used = usedHere(s, b.spec.team).cpus + ctx.usedElsewhere(b.spec.team);
+  return theirs !== undefined && used - b.spec.cpus >= theirs.cpus - 1e-6;
+}
+
+interface Victims {
+  readonly machine: Machine;
+  readonly list: readonly Binding[];
+  readonly cost: number;
+}
+
+function victimsOn(
+  m: Machine,
+  room: Room,
+  job: PartJob,
+  guaranteed: boolean,
+  s: Scratch,
+  ctx: PlanContext,
+): Victims | null {
+  const candidates = [...m.bindings.values()].filter((b) => mayStop(b, job, guaranteed, s, ctx));
+  candidates.sort((a, b) => lostWork(a, ctx.now) - lostWork(b, ctx.now));
+  const free = { ...room };
+  const list: Binding[] = [];
+  let cost = 0;
+  for (const b of candidates) {
+    if (fits(free, job.spec)) break;
+    take(free, b.spec as JobSpec, -1);
+    cost += lostWork(b, ctx.now);
+    list.push(b);
+  }
+  return fits(free, job.spec) ? { machine: m, list, cost } : null;
+}
+
+function preempt(
+  part: Part,
+  job: PartJob,
+  index: number,
+  pin: ZoneId | null,
+  s: Scratch,
+  ctx: PlanContext,
+  plan: Plan,
+): boolean {
+  const critical = job.spec.priority === Priority.critical;
+  const guaranteed = withinGuarantee(job.spec, s, ctx);
+  const waited = ctx.now - Math.max(job.arrivedAt, job.waitingSince ?? ctx.now);
+  const patience = critical ? (ctx.peerHasRoom(job.spec) ? CRITICAL_PATIENCE : 0) : PATIENCE;
+  if (waited < patience || s.searches >= MAX_VICTIM_SEARCHES) return false;
+  if (!critical && deadlineAt(job) < ctx.now) return false;
+  s.searches += 1;
+  let best: Victims | null = null;
+  for (const [id, room] of s.room) {
+    const m = part.machines.get(id);
+    if (!m || !allowed(job.spec, m.type, m.zone, m.spot, pin)) continue;
+    const found = victimsOn(m, room, job, guaranteed, s, ctx);
+    if (found && found.list.length > 0 && (!best || found.cost < best.cost)) best = found;
+  }
+  if (!best) return false;
+  for (const b of best.list) {
+    s.stopping.add(b);
+    take(s.room.get(best.machine.id), b.spec as JobSpec, -1);
+    plan.stops.push({ binding: b, grace: graceFor(b) });
+  }
+  take(s.room.get(best.machine.id), job.spec, 1);
+  charge(s, job.spec);
+  plan.holds.push({ job, index, machine: best.machine.id });
+  return true;
+}
+
+/** Time to save for a task that can; none for others. */
+export function graceFor(b: Binding): number {
+  return b.spec && b.spec.checkpointS > 0 ? Math.ceil(b.spec.saveS + 1) : 0;
+}
--- /dev/null
+++ b/src/placement/scheduler.ts
@@ -0,0 +1,170 @@
+/** Runs placement rounds: plans, binds, stops, and passes on what found no room. */
+import type { Core } from '../core.js';
+import type { Fleet } from '../fleet/fleet.js';
+import { Overflow } from '../flock/overflow.js';
+import { capacityFor } from '../flock/willing.js';
+import type { JobSpec } from '../jobs/spec.js';
+import { bind, unbind, type Binding, type Machine, type Part } from '../parts/model.js';
+import type { QuotaDesk } from '../quota/desk.js';
+import type { SteadyMs, TaskIndex, TeamId } from '../units.js';
+import { millis, plus, taskId } from '../units.js';
+import type { WorkerDesk } from '../workers/desk.js';
+import { graceFor, planRound, type Plan, type PlanContext, type Start } from './plan.js';
+import type { RunTimes } from './runtimes.js';
+
+const DEBOUNCE = millis(12);
+const HOLD = millis(6000);
+
+export class Scheduler {
+  private armed = false;
+  readonly overflow: Overflow;
+
+  constructor(
+    private readonly core: Core,
+    private readonly desk: WorkerDesk,
+    private readonly quota: QuotaDesk,
+    private readonly fleet: Fleet,
+    private readonly runTimes: RunTimes,
+  ) {
+    this.overflow = new Overflow(core);
+  }
+
+  wake(): void {
+    if (this.armed) return;
+    this.armed = true;
+    this.core.clock.after(DEBOUNCE, () => {
+      this.armed = false;
+      void this.core.exclusive(() => {
+        for (const part of this.core.parts.values()) this.round(part);
+      });
+    });
+  }
+
+  private round(part: Part): void {
+    const now = this.core.clock.now();
+    if (!this.core.authority(now)) return;
+    this.moveOffNoticed(part);
+    const plan = planRound(part, this.context(now, part));
+    this.apply(part, plan, now);
+    this.desk.dispatch(part);
+    this.overflow.consider(part, plan.unplaced);
+    this.askForShares(part, plan);
+    this.fleet.demand(part, plan.unplaced, now);
+  }
+
+  private context(now: SteadyMs, part: Part): PlanContext {
+    const { core } = this;
+    const others = [...core.settings.parts].filter((p) => p.part !== part.id);
+    const elsewhere = new Map<TeamId, number>();
+    for (const { part: id } of others) {
+      const own = core.parts.get(id);
+      const used = own ? usedCpus(own) : core.partNews.get(id)?.used;
+      for (const [team, cpus] of used ?? []) elsewhere.set(team, (elsewhere.get(team) ?? 0) + cpus);
+    }
+    return {
+      now,
+      types: core.types,
+      teams: core.settings.teams,
+      share: (team) => this.quota.share(part.id, team),
+      usedElsewhere: (team) => elsewhere.get(team) ?? 0,
+      peerHasRoom: (spec) => this.peerHasRoom(part, spec, now),
+      correction: (lane) => this.runTimes.correction(lane),
+      reportMs: core.reportMs,
+    };
+  }
+
+  private peerHasRoom(part: Part, spec: JobSpec, now: SteadyMs): boolean {
+    for (const o of this.core.offers.values()) {
+      if (o.part !== part.id && o.expires > now && capacityFor(o, spec, null) > 0) return true;
+    }
+    return false;
+  }
+
+  private apply(part: Part, plan: Plan, now: SteadyMs): void {
+    for (const s of plan.starts) this.start(part, s, now);
+    for (const s of plan.stops) this.stop(part, s.binding, s.grace);
+    for (const h of plan.holds) h.job.holds.set(h.index, { machine: h.machine, until: plus(now, HOLD) });
+    const short = new Set(plan.unplaced.map((u) => u.job));
+    for (const job of part.jobs.values()) {
+      if (!short.has(job)) job.waitingSince = null;
+      else job.waitingSince ??= now;
+    }
+  }
+
+  private start(part: Part, s: Start, now: SteadyMs): void {
+    const index = s.index as TaskIndex;
+    const binding: Binding = {
+      id: taskId(s.job.id, index),
+      job: s.job.id,
+      index,
+      attempt: part.nextAttempt(),
+      machine: s.machine.id,
+      spec: s.job.spec,
+      phase: 'ordered',
+      boundAt: now,
+      runningSince: null,
+      stop: null,
+      inFlight: false,
+      due: true,
+      doubt: null,
+      answered: null,
+    };
+    bind(part, s.machine, binding);
+    this.core.log.debug({ task: binding.id, machine: s.machine.id, attempt: binding.attempt }, 'start');
+  }
+
+  stop(part: Part, b: Binding, grace: number): void {
+    const machine = part.machines.get(b.machine);
+    if (!machine || (b.stop && b.stop.grace <= grace)) return;
+    this.core.log.debug({ task: b.id, machine: b.machine, grace }, 'stop');
+    // Never sent: there is nothing to stop.
+    if (b.phase === 'ordered' && b.due && !b.inFlight && !b.doubt && b.answered === null)
+      unbind(part, machine, b);
+    else b.stop = { grace, direct: 'due' };
+  }
+
+  /** The job is over: every task of it is stopped, and counts until it is seen gone. */
+  stopJob(job: Binding['job']): void {
+    for (const part of this.core.parts.values()) {
+      part.jobs.delete(job);
+      for (const b of [...part.bound.values()]) if (b.job === job) this.stop(part, b, 0);
+    }
+  }
+
+  /** A machine about to be taken: what can save does, replicas move at once, the rest may still finish. */
+  private moveOffNoticed(part: Part): void {
+    for (const m of part.machines.values()) {
+      if (m.takenAt === null) continue;
+      for (const b of [...m.bindings.values()]) {
+        if (b.stop || !b.spec) continue;
+        if (b.spec.shape === 'service' || b.spec.checkpointS > 0) this.stop(part, b, graceFor(b));
+        else if (!this.mayFinish(b, m)) this.stop(part, b, 0);
+      }
+    }
+  }
+
+  private mayFinish(b: Binding, m: Machine): boolean {
+    if (!b.spec || b.runningSince === null || m.takenAt === null) return false;
+    const expected = b.spec.estimateS * this.runTimes.correction(b.spec.lane) * 1000;
+    return b.runningSince + expected < m.takenAt + 2000;
+  }
+
+  private askForShares(part: Part, plan: Plan): void {
+    const need = new Map<TeamId, { cpus: number; gpus: number }>();
+    for (const u of plan.unplaced) {
+      if (u.reason !== 'limit') continue;
+      const n = need.get(u.job.spec.team) ?? { cpus: 0, gpus: 0 };
+      n.cpus += u.indices.length * u.job.spec.cpus;
+      n.gpus += u.indices.length * u.job.spec.gpus;
+      need.set(u.job.spec.team, n);
+    }
+    for (const [team, amount] of need) this.quota.request(part, team, amount);
+  }
+}
+
+function usedCpus(part: Part): Map<TeamId, number> {
+  const out = new Map<TeamId, number>();
+  for (const b of part.bound.values())
+    if (b.spec) out.set(b.spec.team, (out.get(b.spec.team) ?? 0) + b.spec.cpus);
+  return out;
+}
--- /dev/null
+++ b/src/settings/settings.ts
@@ -0,0 +1,306 @@
+/** The platform's settings file (TOML) and the operators' own (`.properties`), read and checked once. */
+import { readFileSync } from 'node:fs';
+import { parse as parseToml } from 'smol-toml';
+import { parse as parseProperties } from 'dot-properties';
+import * as v from 'valibot';
+import type { Address, Millis, NodeId, PartId, Seconds, TeamId, ZoneId } from '../units.js';
+
+/** A setting that ends the start: one line naming file, field and what was expected. */
+export class SettingsError extends Error {}
+
+const amount = v.pipe(
+  v.number('a number'),
+  v.finite('a finite number'),
+  v.minValue(0, 'a number of at least 0'),
+);
+const positive = v.pipe(v.number('a number'), v.finite('a finite number'), v.gtValue(0, 'a number above 0'));
+const count = v.pipe(
+  v.number('a whole number'),
+  v.integer('a whole number'),
+  v.minValue(1, 'a whole number of at least 1'),
+);
+const name = v.pipe(v.string('a text'), v.nonEmpty('a text that is not empty'));
+const address = v.pipe(
+  v.string('an address like 10.0.0.1:8080'),
+  v.regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, 'an address like 10.0.0.1:8080'),
+  v.check((a) => Number(a.slice(a.indexOf(':') + 1)) <= 65535, 'a port of at most 65535'),
+);
+const table = <T extends v.ObjectEntries>(entries: T) => v.object(entries, 'a table with all its fields');
+
+const schema = table({
+  label: name,
+  domain: name,
+  bind: address,
+  mesh_addr: address,
+  known: v.optional(
+    v.array(table({ label: name, domain: name, peer_addr: address }), 'a list of tables'),
+    [],
+  ),
+  services: table({ cloud: address, state: address }),
+  facts: table({
+    zones: v.array(name, 'a list of texts'),
+    teams: v.array(
+      table({
+        name,
+        cpus: amount,
+        cpus_max: amount,
+        gpus: v.optional(amount, 0),
+        gpus_max: v.optional(amount, 0),
+      }),
+      'a list of tables',
+    ),
+    workers: table({ report_s: positive, lease_s: positive, cancel_s: positive }),
+    state: table({ rps: positive, write_rps: positive, value_kb: positive, txn_ops: count }),
+    cloud: table({ rps: positive, list_lag_s: amount }),
+    quota: table({ max_connections: count }),
+  }),
+});
+
+export interface Peer {
+  readonly node: NodeId;
+  readonly zone: ZoneId;
+  readonly address: Address;
+  readonly part: PartId;
+}
+
+export interface Team {
+  readonly name: TeamId;
+  readonly cpus: number;
+  readonly cpusMax: number;
+  readonly gpus: number;
+  readonly gpusMax: number;
+}
+
+export interface Settings {
+  readonly node: NodeId;
+  readonly zone: ZoneId;
+  readonly part: PartId;
+  readonly listen: Address;
+  readonly meshListen: Address;
+  /** The other controllers. */
+  readonly peers: readonly Peer[];
+  /** Every part with its home controller, in part order. */
+  readonly parts: readonly { part: PartId; node: NodeId; zone: ZoneId }[];
+  readonly cloud: Address;
+  readonly state: Address;
+  readonly zones: readonly ZoneId[];
+  readonly teams: ReadonlyMap<TeamId, Team>;
+  readonly reportS: Seconds;
+  readonly leaseS: Seconds;
+  readonly cancelS: Seconds;
+  readonly stateRps: number;
+  readonly stateWriteRps: number;
+  readonly valueBytes: number;
+  readonly txnOps: number;
+  readonly cloudRps: number;
+  readonly listLagS: Seconds;
+  readonly maxConnections: number;
+}
+
+/** Places the controllers in name order: every one derives the same parts from its own file. */
+function partsOf(raw: v.InferOutput<typeof schema>): Settings['parts'] {
+  const all = [{ label: raw.label, domain: raw.domain }, ...raw.known];
+  const sorted = [...all].sort((a, b) => (a.label < b.label ? -1 : 1));
+  return sorted.map((n, i) => ({ part: i as PartId, node: n.label as NodeId, zone: n.domain as ZoneId }));
+}
+
+function fieldOf(issue: v.BaseIssue<unknown>): string {
+  const path = issue.path ?? [];
+  return path
+    .map((p) => (typeof p.key === 'number' ? `[${p.key}]` : `.${String(p.key)}`))
+    .join('')
+    .slice(1);
+}
+
+function teamsOf(raw: v.InferOutput<typeof schema>, file: string): Map<TeamId, Team> {
+  const teams = new Map<TeamId, Team>();
+  raw.facts.teams.forEach((t, i) => {
+    const id = t.name as TeamId;
+    if (teams.has(id))
+      throw new SettingsError(
+        `${file}: facts.teams[${i}].name: expected a name used once, got "${t.name}" again`,
+      );
+    teams.set(id, { name: id, cpus: t.cpus, cpusMax: t.cpus_max, gpus: t.gpus, gpusMax: t.gpus_max });
+  });
+  return teams;
+}
+
+function assemble(raw: v.InferOutput<typeof schema>, file: string): Settings {
+  const parts = partsOf(raw);
+  if (new Set(parts.map((p) => p.node)).size !== parts.length) {
+    throw new SettingsError(`${file}: known: expected labels that differ from each other and from label`);
+  }
+  const partOf = (node: string): PartId => (parts.find((p) => p.node === node) as { part: PartId }).part;
+  const w = raw.facts.workers;
+  if (w.cancel_s <= w.lease_s) {
+    throw new SettingsError(
+      `${file}: facts.workers.cancel_s: expected more than lease_s (${w.lease_s}), got ${w.cancel_s}`,
+    );
+  }
+  return {
+    node: raw.label as NodeId,
+    zone: raw.domain as ZoneId,
+    part: partOf(raw.label),
+    listen: raw.bind as Address,
+    meshListen: raw.mesh_addr as Address,
+    peers: raw.known.map((k) => ({
+      node: k.label as NodeId,
+      zone: k.domain as ZoneId,
+      address: k.peer_addr as Address,
+      part: partOf(k.label),
+    })),
+    parts,
+    cloud: raw.services.cloud as Address,
+    state: raw.services.state as Address,
+    zones: raw.facts.zones as ZoneId[],
+    teams: teamsOf(raw, file),
+    reportS: w.report_s as Seconds,
+    leaseS: w.lease_s as Seconds,
+    cancelS: w.cancel_s as Seconds,
+    stateRps: raw.facts.state.rps,
+    stateWriteRps: raw.facts.state.write_rps,
+    valueBytes: Math.floor(raw.facts.state.value_kb * 1024),
+    txnOps: raw.facts.state.txn_ops,
+    cloudRps: raw.facts.cloud.rps,
+    listLagS: raw.facts.cloud.list_lag_s as Seconds,
+    maxConnections: raw.facts.quota.max_connections,
+  };
+}
+
+function readText(file: string): string {
+  try {
+    return readFileSync(file, 'utf8');
+  } catch (e) {
+    throw new SettingsError(
+      `${file}: expected a readable file (${(e as NodeJS.ErrnoException).code ?? 'error'})`,
+    );
+  }
+}
+
+export function parseSettings(text: string, file: string): Settings {
+  let data: unknown;
+  try {
+    data = parseToml(text);
+  } catch (e) {
+    throw new SettingsError(`${file}: expected valid TOML: ${(e as Error).message.split('\n')[0] ?? ''}`);
+  }
+  const result = v.safeParse(schema, data, { abortEarly: true });
+  if (!result.success) {
+    const issue = result.issues[0];
+    const got = issue.received === 'undefined' ? 'nothing' : issue.received;
+    throw new SettingsError(`${file}: ${fieldOf(issue) || '(top)'}: expected ${issue.message}, got ${got}`);
+  }
+  return assemble(result.output, file);
+}
+
+export const loadSettings = (file: string): Settings => parseSettings(readText(file), file);
+
+/** The operators' own settings with their defaults; durations in milliseconds. */
+export interface Tuning {
+  readonly checkInterval: Millis;
+  readonly announceExpiry: Millis;
+  readonly aliveTtl: Millis;
+  readonly followBlock: Millis;
+  readonly idleReturn: Millis;
+  readonly silentReturn: Millis;
+  readonly seed: number;
+}
+
+interface Knob {
+  readonly key: string;
+  readonly field: keyof Tuning;
+  readonly fallback: number;
+  readonly min: number;
+  readonly max: number;
+  readonly about: string;
+}
+
+export const KNOBS: readonly Knob[] = [
+  {
+    key: 'flock.check.interval.ms',
+    field: 'checkInterval',
+    fallback: 1000,
+    min: 100,
+    max: 60000,
+    about: 'announce free room and review quotas at least this often',
+  },
+  {
+    key: 'flock.announce.expiry.ms',
+    field: 'announceExpiry',
+    fallback: 10000,
+    min: 1000,
+    max: 120000,
+    about: 'age at which an announcement is worth nothing',
+  },
+  {
+    key: 'parts.alive.ttl.ms',
+    field: 'aliveTtl',
+    fallback: 3000,
+    min: 1000,
+    max: 60000,
+    about: 'silence after which peers take a part over',
+  },
+  {
+    key: 'state.follow.block.ms',
+    field: 'followBlock',
+    fallback: 2000,
+    min: 100,
+    max: 20000,
+    about: 'how long one watch of the state service may block',
+  },
+  {
+    key: 'fleet.idle.return.ms',
+    field: 'idleReturn',
+    fallback: 30000,
+    min: 1000,
+    max: 3600000,
+    about: 'idle time after which a rented machine is returned',
+  },
+  {
+    key: 'fleet.silent.return.ms',
+    field: 'silentReturn',
+    fallback: 75000,
+    min: 5000,
+    max: 3600000,
+    about: 'silence after which a machine is given up',
+  },
+  {
+    key: 'random.seed',
+    field: 'seed',
+    fallback: 1,
+    min: 0,
+    max: 2147483647,
+    about: 'seed of the shuffles among equals',
+  },
+];
+
+export function parseTuning(text: string, file: string): Tuning {
+  const given = parseProperties(text) as Record<string, unknown>;
+  const tuning: Record<string, number> = {};
+  for (const knob of KNOBS) tuning[knob.field] = knob.fallback;
+  for (const [key, value] of Object.entries(given)) {
+    const knob = KNOBS.find((k) => k.key === key);
+    if (!knob)
+      throw new SettingsError(`${file}: ${key}: expected one of ${KNOBS.map((k) => k.key).join(', ')}`);
+    const text = typeof value === 'string' ? value.trim() : '';
+    const n = /^\d{1,10}$/.test(text) ? Number(text) : NaN;
+    if (!(n >= knob.min && n <= knob.max)) {
+      throw new SettingsError(
+        `${file}: ${key}: expected a whole number from ${knob.min} to ${knob.max}, got "${text}"`,
+      );
+    }
+    tuning[knob.field] = n;
+  }
+  return tuning as unknown as Tuning;
+}
+
+export const loadTuning = (file: string | undefined): Tuning =>
+  file === undefined ? parseTuning('', 'defaults') : parseTuning(readText(file), file);
+
+export type LogLevel = 'error' | 'info' | 'debug';
+
+export function logLevelOf(value: string | undefined): LogLevel {
+  const level = value ?? 'info';
+  if (level === 'error' || level === 'info' || level === 'debug') return level;
+  throw new SettingsError(`environment: LOG_LEVEL: expected error, info or debug, got "${level}"`);
+}
--- /dev/null
+++ b/src/state/budget.ts
@@ -0,0 +1,96 @@
+/** This controller's share of a limit that all controllers draw on: a token bucket with ranks. */
+import type { Clock, Millis, SteadyMs } from '../units.js';
+import { millis } from '../units.js';
+
+/** Lower goes first. */
+export const Rank = { ownership: 0, abort: 1, submit: 2, final: 3, handover: 4, progress: 5 } as const;
+export type Rank = (typeof Rank)[keyof typeof Rank];
+
+interface Waiter {
+  readonly cost: number;
+  readonly rank: Rank;
+  readonly go: (granted: boolean) => void;
+  readonly deadline: SteadyMs;
+}
+
+const MAX_WAITING = 2000;
+
+export class Budget {
+  private level: number;
+  private last: SteadyMs;
+  private readonly waiting: Waiter[] = [];
+  private timer: { cancel(): void } | null = null;
+
+  constructor(
+    private readonly clock: Clock,
+    private rate: number,
+    private readonly burst: number,
+  ) {
+    this.level = burst;
+    this.last = clock.now();
+  }
+
+  /** The share changes when controllers come and go: what silent ones leave is borrowed. */
+  setRate(rate: number): void {
+    this.refill();
+    this.rate = rate;
+  }
+
+  /** Resolves true once the cost may be spent, false when `patience` ran out first. */
+  take(cost: number, rank: Rank, patience: Millis): Promise<boolean> {
+    this.refill();
+    if (this.waiting.length === 0 && this.affordable(cost, rank)) {
+      this.level -= cost;
+      return Promise.resolve(true);
+    }
+    if (this.waiting.length >= MAX_WAITING) return Promise.resolve(false);
+    return new Promise((resolve) => {
+      const waiter: Waiter = { cost, rank, go: resolve, deadline: (this.clock.now() + patience) as SteadyMs };
+      const at = this.waiting.findIndex((w) => w.rank > rank);
+      this.waiting.splice(at < 0 ? this.waiting.length : at, 0, waiter);
+      this.arm();
+    });
+  }
+
+  /** The other side refused for its limit: spend nothing for a moment. */
+  punish(): void {
+    this.refill();
+    this.level = Math.min(this.level, 0) - this.rate * 0.1;
+  }
+
+  private refill(): void {
+    const now = this.clock.now();
+    this.level = Math.min(this.burst, this.level + ((now - this.last) / 1000) * this.rate);
+    this.last = now;
+  }
+
+  /** Progress may not eat the reserve that ownership and users need at once. */
+  private affordable(cost: number, rank: Rank): boolean {
+    const reserve = rank >= Rank.handover ? this.burst * 0.3 : 0;
+    return this.level >= Math.min(cost + reserve, this.burst);
+  }
+
+  private arm(): void {
+    this.timer ??= this.clock.after(millis(10), () => {
+      this.timer = null;
+      this.pump();
+      if (this.waiting.length > 0) this.arm();
+    });
+  }
+
+  private pump(): void {
+    this.refill();
+    const now = this.clock.now();
+    for (let i = 0; i < this.waiting.length;) {
+      const waiter = this.waiting[i] as Waiter;
+      const affordable = this.affordable(waiter.cost, waiter.rank);
+      if (!affordable && now < waiter.deadline) {
+        i += 1;
+        continue;
+      }
+      this.waiting.splice(i, 1);
+      if (affordable) this.level -= waiter.cost;
+      waiter.go(affordable);
+    }
+  }
+}
--- /dev/null
+++ b/src/state/client.ts
@@ -0,0 +1,165 @@
+/** Client of the state service: says for every request whether it was carried out, was not, or may have been. */
+import type { Call, Outcome } from '../http/client.js';
+import type { Settings } from '../settings/settings.js';
+import type { Clock, LeaseId, Millis, Revision, StateKey } from '../units.js';
+import { millis } from '../units.js';
+import { Budget, Rank } from './budget.js';
+import {
+  decodeConflict,
+  decodeEntry,
+  decodeLease,
+  decodeNews,
+  decodePage,
+  decodeRevision,
+  encodeTtl,
+  encodeTxn,
+  followPath,
+  keyPath,
+  listPath,
+  type Change,
+  type Condition,
+  type Entry,
+  type News,
+} from './wire.js';
+
+export type TxnResult =
+  | { readonly kind: 'done'; readonly revision: Revision }
+  | { readonly kind: 'conflict'; readonly failed: readonly StateKey[] }
+  /** Certainly not carried out: refused, over a limit, or never sent. */
+  | { readonly kind: 'refused' }
+  /** May have been carried out, or may be later. */
+  | { readonly kind: 'unknown' };
+
+export type ReadResult =
+  | { readonly kind: 'found'; readonly entry: Entry }
+  | { readonly kind: 'absent' }
+  | { readonly kind: 'failed' };
+
+export interface Caller {
+  call(call: Call): Promise<Outcome>;
+}
+
+const TIMEOUT = millis(1500);
+/** How long a request may wait for its turn, and how often it is sent again after a 429. */
+const PATIENCE = millis(1200);
+const REPEATS = 4;
+
+export class StateClient {
+  private readonly requests: Budget;
+  private readonly writes: Budget;
+
+  constructor(
+    private readonly http: Caller,
+    private readonly watchHttp: Caller,
+    private readonly clock: Clock,
+    private readonly settings: Settings,
+    private readonly random: () => number,
+  ) {
+    const share = settings.parts.length;
+    this.requests = new Budget(clock, (settings.stateRps * 0.9) / share, settings.stateRps * 0.45);
+    this.writes = new Budget(clock, (settings.stateWriteRps * 0.9) / share, settings.stateWriteRps * 0.45);
+  }
+
+  /** How many controllers draw on the limits now. */
+  share(controllers: number): void {
+    this.requests.setRate((this.settings.stateRps * 0.9) / controllers);
+    this.writes.setRate((this.settings.stateWriteRps * 0.9) / controllers);
+  }
+
+  private pause(delay: Millis): Promise<void> {
+    return new Promise((resolve) => this.clock.after(delay, resolve));
+  }
+
+  /** One request within the budget; a 429 is repeated a few times, everything else is the caller's. */
+  private async request(call: Call, rank: Rank, writes: number): Promise<Outcome> {
+    for (let i = 0; ; i += 1) {
+      if (writes > 0 && !(await this.writes.take(writes, rank, PATIENCE))) return { kind: 'unsent' };
+      if (!(await this.requests.take(1, rank, PATIENCE))) return { kind: 'unsent' };
+      const outcome = await this.http.call(call);
+      if (outcome.kind !== 'answer' || outcome.status !== 429) return outcome;
+      (writes > 0 ? this.writes : this.requests).punish();
+      if (i >= REPEATS) return outcome;
+      await this.pause(millis(50 + 150 * this.random()));
+    }
+  }
+
+  async txn(conditions: readonly Condition[], changes: readonly Change[], rank: Rank): Promise<TxnResult> {
+    const body = encodeTxn(conditions, changes);
+    const outcome = await this.request(
+      { method: 'POST', path: '/txn', body, timeout: TIMEOUT },
+      rank,
+      changes.length,
+    );
+    if (outcome.kind === 'unknown') return { kind: 'unknown' };
+    if (outcome.kind === 'unsent') return { kind: 'refused' };
+    if (outcome.status === 200) {
+      const revision = decodeRevision(outcome.body);
+      return revision === null ? { kind: 'unknown' } : { kind: 'done', revision };
+    }
+    if (outcome.status === 409) {
+      const failed = decodeConflict(outcome.body);
+      return failed === null ? { kind: 'unknown' } : { kind: 'conflict', failed };
+    }
+    // 503, 429 and 400 are stated not to be carried out; any other status says nothing.
+    return [400, 429, 503].includes(outcome.status) ? { kind: 'refused' } : { kind: 'unknown' };
+  }
+
+  async get(key: StateKey, rank: Rank): Promise<ReadResult> {
+    const outcome = await this.request({ method: 'GET', path: keyPath(key), timeout: TIMEOUT }, rank, 0);
+    if (outcome.kind !== 'answer') return { kind: 'failed' };
+    if (outcome.status === 404 && decodeRevision(outcome.body) !== null) return { kind: 'absent' };
+    const entry = outcome.status === 200 ? decodeEntry(outcome.body) : null;
+    return entry && entry.key === key ? { kind: 'found', entry } : { kind: 'failed' };
+  }
+
+  /** Every entry below a prefix, with the revision from which to follow. */
+  async list(prefix: string): Promise<{ entries: Entry[]; revision: Revision } | null> {
+    const entries: Entry[] = [];
+    let first: Revision | null = null;
+    let after: string | null = null;
+    for (;;) {
+      const path = listPath(prefix, after, 1000);
+      const outcome = await this.request({ method: 'GET', path, timeout: TIMEOUT }, Rank.ownership, 0);
+      if (outcome.kind !== 'answer' || outcome.status !== 200) return null;
+      const page = decodePage(outcome.body);
+      if (!page) return null;
+      first ??= page.revision;
+      entries.push(...page.entries);
+      const last = page.entries.at(-1);
+      if (!page.more || !last) return { entries, revision: first };
+      after = last.key;
+    }
+  }
+
+  async follow(
+    prefix: string,
+    after: Revision,
+    block: Millis,
+  ): Promise<{ news: News[]; revision: Revision } | 'too-old' | null> {
+    if (!(await this.requests.take(1, Rank.ownership, PATIENCE))) return null;
+    const timeout = millis(block + 1500);
+    const outcome = await this.watchHttp.call({
+      method: 'GET',
+      path: followPath(prefix, after, block),
+      timeout,
+    });
+    if (outcome.kind !== 'answer') return null;
+    if (outcome.status === 410) return 'too-old';
+    if (outcome.status === 429) this.requests.punish();
+    return outcome.status === 200 ? decodeNews(outcome.body) : null;
+  }
+
+  async grantLease(ttl: Millis): Promise<LeaseId | null> {
+    const call: Call = { method: 'POST', path: '/leases', body: encodeTtl(ttl), timeout: TIMEOUT };
+    const outcome = await this.request(call, Rank.ownership, 0);
+    return outcome.kind === 'answer' && outcome.status === 200 ? decodeLease(outcome.body) : null;
+  }
+
+  async renewLease(lease: LeaseId): Promise<'renewed' | 'gone' | 'failed'> {
+    const call: Call = { method: 'POST', path: `/leases/${lease}/renew`, body: {}, timeout: TIMEOUT };
+    const outcome = await this.request(call, Rank.ownership, 0);
+    if (outcome.kind !== 'answer') return 'failed';
+    if (outcome.status === 200) return 'renewed';
+    return outcome.status === 404 ? 'gone' : 'failed';
+  }
+}
--- /dev/null
+++ b/src/state/view.ts
@@ -0,0 +1,68 @@
+/**
+ * This controller's copy of what the state service holds below one prefix. It may be behind, never wrong:
+ * every key has the version it was read at, and `confirmed` is a time at which nothing newer existed.
+ */
+import type { Revision, StateKey, SteadyMs } from '../units.js';
+import { NO_REVISION, steady } from '../units.js';
+import type { Entry, News } from './wire.js';
+
+export type OnChange = (key: StateKey, value: unknown, version: Revision) => void;
+
+export class View {
+  private readonly entries = new Map<StateKey, Entry>();
+  /** Versions of drops that the feed has not reached: an older put must not bring the key back. */
+  private readonly dropped = new Map<StateKey, Revision>();
+  revision: Revision = NO_REVISION;
+  confirmed: SteadyMs = steady(-1e12);
+  loaded = false;
+
+  constructor(private readonly onChange: OnChange) {}
+
+  get(key: StateKey): Entry | undefined {
+    return this.entries.get(key);
+  }
+
+  version(key: StateKey): Revision {
+    return this.entries.get(key)?.version ?? NO_REVISION;
+  }
+
+  *under(prefix: string): Generator<Entry> {
+    for (const entry of this.entries.values()) if (entry.key.startsWith(prefix)) yield entry;
+  }
+
+  /** One fact, from the feed, a read, or our own committed write. Older facts change nothing. */
+  learn(key: StateKey, value: unknown, version: Revision): void {
+    const known = Math.max(this.version(key), this.dropped.get(key) ?? 0);
+    if (version <= known) return;
+    if (value === undefined) {
+      if (version > this.revision) this.dropped.set(key, version);
+      if (!this.entries.delete(key)) return;
+    } else {
+      this.dropped.delete(key);
+      this.entries.set(key, { key, value, version });
+    }
+    this.onChange(key, value, version);
+  }
+
+  follow(news: readonly News[], revision: Revision, asked: SteadyMs): void {
+    for (const n of news) this.learn(n.key, n.value, n.version);
+    this.reach(revision, asked);
+  }
+
+  /** A complete list read from `asked` on: keys it lacks, and that are not newer than it, are gone. */
+  load(entries: readonly Entry[], revision: Revision, asked: SteadyMs): void {
+    const present = new Set(entries.map((e) => e.key));
+    for (const entry of [...this.entries.values()]) {
+      if (!present.has(entry.key) && entry.version <= revision) this.learn(entry.key, undefined, revision);
+    }
+    for (const e of entries) this.learn(e.key, e.value, e.version);
+    this.loaded = true;
+    this.reach(revision, asked);
+  }
+
+  private reach(revision: Revision, asked: SteadyMs): void {
+    if (revision > this.revision) this.revision = revision;
+    if (asked > this.confirmed) this.confirmed = asked;
+    for (const [key, version] of this.dropped) if (version <= this.revision) this.dropped.delete(key);
+  }
+}
--- /dev/null
+++ b/src/workers/reports.ts
@@ -0,0 +1,218 @@
+/** What a worker's message means for its part: which tasks are where, ended, done or lost. */
+import type { Log } from '../log.js';
+import type { SteadyMs, TaskId } from '../units.js';
+import { plus, taskId, toMillis } from '../units.js';
+import { bind, isOurs, unbind, type Binding, type Exited, type Machine, type Part } from '../parts/model.js';
+import type { JobSpec } from '../jobs/spec.js';
+import type { Report, ReportedTask } from './wire.js';
+
+/** `report`: the worker's own message. `direct`: its answer to an order of ours. */
+export type Channel = 'report' | 'direct';
+
+export interface ReportContext {
+  readonly now: SteadyMs;
+  /** Of jobs that are over but may still have tasks on machines. */
+  readonly pastSpec: (task: ReportedTask) => JobSpec | null;
+  readonly onDone: (b: Binding) => void;
+  readonly log: Log;
+}
+
+/** Applies a message in the order of (session, number); false: it is older than what we know. */
+export function applyReport(
+  part: Part,
+  machine: Machine,
+  report: Report,
+  channel: Channel,
+  ctx: ReportContext,
+): boolean {
+  const older =
+    report.session < machine.leastSession ||
+    report.session < machine.session ||
+    (report.session === machine.session && report.sequence <= machine.sequence);
+  // A held report may arrive minutes late, with a list as old as itself.
+  if (older) return false;
+  if (report.session > machine.session) endSession(part, machine, ctx);
+  machine.session = report.session;
+  machine.sequence = report.sequence;
+  machine.token = report.token;
+  machine.address = report.address;
+  machine.lastHeard = ctx.now;
+  machine.takenAt = report.noticeS === null ? null : plus(ctx.now, toMillis(report.noticeS));
+  if (channel === 'report') {
+    machine.lastReport = ctx.now;
+    machine.lastReportSequence = report.sequence;
+  }
+  settleDoubts(machine, report);
+  const seen = new Set<TaskId>();
+  machine.exited = applyExits(part, machine, report, seen, ctx);
+  for (const task of report.tasks) if (task.state !== 'exited') applyActive(part, machine, task, seen, ctx);
+  for (const b of [...machine.bindings.values()]) {
+    if (!seen.has(b.id)) applyAbsent(part, machine, b, channel, ctx);
+  }
+  if (report.token >= part.token) machine.settled = true;
+  return true;
+}
+
+/** The worker's lease ran out: it killed and forgot every task, and takes no order of that session. */
+export function endSession(part: Part, machine: Machine, ctx: Pick<ReportContext, 'log'>): void {
+  for (const b of [...machine.bindings.values()]) {
+    ctx.log.debug({ task: b.id, machine: machine.id, attempt: b.attempt }, 'lost with its session');
+    unbind(part, machine, b);
+  }
+  machine.exited = new Map();
+  machine.images.clear();
+}
+
+/**
+ * A direct launch may be executed late as long as token and session match; a newer session or a higher token
+ * seen by the worker rules that out.
+ */
+function settleDoubts(machine: Machine, report: Report): void {
+  const over = (d: Binding['doubt']): boolean =>
+    d !== null && (report.session > d.session || report.token > d.token);
+  for (const b of machine.bindings.values()) if (over(b.doubt)) b.doubt = null;
+  for (const e of machine.exited.values()) if (over(e.doubt)) e.doubt = null;
+}
+
+function applyExits(
+  part: Part,
+  machine: Machine,
+  report: Report,
+  seen: Set<TaskId>,
+  ctx: ReportContext,
+): Map<TaskId, Exited> {
+  const exited = new Map<TaskId, Exited>();
+  for (const task of report.tasks) {
+    if (task.state !== 'exited' || task.cause === null) continue;
+    const id = taskId(task.job, task.index);
+    const before = machine.exited.get(id);
+    const binding = machine.bindings.get(id);
+    const ours = binding?.attempt === task.attempt ? binding : null;
+    const doubt = ours?.doubt ?? (before?.attempt === task.attempt ? before.doubt : null);
+    exited.set(id, { id, job: task.job, index: task.index, attempt: task.attempt, cause: task.cause, doubt });
+    if (ours) {
+      seen.add(id);
+      ended(part, machine, ours, task, ctx);
+    } else if (!before && task.cause === 'done') finished(part, task);
+  }
+  return exited;
+}
+
+function finished(part: Part, task: ReportedTask): void {
+  const job = part.jobs.get(task.job);
+  if (!job || job.spec.shape !== 'array' || job.record.done.has(task.index)) return;
+  if (!isOurs(part, task.job, task.index) || part.bound.has(taskId(task.job, task.index))) return;
+  job.finished.add(task.index);
+  job.waiting.remove(task.index);
+  job.frozen.remove(task.index);
+}
+
+function ended(part: Part, machine: Machine, b: Binding, task: ReportedTask, ctx: ReportContext): void {
+  unbind(part, machine, b);
+  const job = part.jobs.get(b.job);
+  ctx.log.debug({ task: b.id, machine: machine.id, attempt: b.attempt, cause: task.cause }, 'exited');
+  if (task.cause === 'done') {
+    machine.faults = [];
+    if (job) job.successes += 1;
+    ctx.onDone(b);
+    finished(part, task);
+  } else if (task.cause === 'error') blame(machine, b, job, ctx);
+  else if (task.cause === 'no-room' || task.cause === 'busy')
+    machine.avoidUntil = plus(ctx.now, toMillis(2 as never));
+  else if (task.cause === 'unknown' && job) job.notBefore = plus(ctx.now, toMillis(1 as never));
+}
+
+/** Many jobs failing on one machine: the machine. One job failing on many machines: the job. */
+function blame(machine: Machine, b: Binding, job: ReturnType<Part['jobs']['get']>, ctx: ReportContext): void {
+  if (job) {
+    job.errors += 1;
+    job.errorMachines.add(machine.id);
+  }
+  const jobIsBad = job !== undefined && job.successes === 0 && job.errorMachines.size >= 3;
+  if (jobIsBad) {
+    const backoffS = Math.min(60, 2 ** Math.min(6, job.errorMachines.size - 2));
+    job.notBefore = plus(ctx.now, toMillis(backoffS as never));
+    ctx.log.info({ job: b.job, machines: job.errorMachines.size, backoffS }, 'job fails wherever it starts');
+    return;
+  }
+  machine.faults.push({ at: ctx.now, job: b.job });
+  machine.faults = machine.faults.slice(-20);
+  const jobs = new Set(machine.faults.map((f) => f.job)).size;
+  const avoidS = machine.faults.length >= 2 || jobs >= 2 ? 45 : 5;
+  machine.avoidUntil = plus(ctx.now, toMillis(avoidS as never));
+  ctx.log.info({ machine: machine.id, faults: machine.faults.length, jobs, avoidS }, 'tasks fail on machine');
+}
+
+function applyActive(
+  part: Part,
+  machine: Machine,
+  task: ReportedTask,
+  seen: Set<TaskId>,
+  ctx: ReportContext,
+): void {
+  if (task.state === 'exited') return;
+  const id = taskId(task.job, task.index);
+  seen.add(id);
+  const known = machine.bindings.get(id);
+  if (known && known.attempt === task.attempt) {
+    progress(machine, known, task.state, ctx);
+    return;
+  }
+  const elsewhere = part.bound.get(id);
+  const job = part.jobs.get(task.job);
+  const wanted = !elsewhere && !known && job !== undefined && isOurs(part, task.job, task.index);
+  const open = wanted && !job.record.done.has(task.index) && !job.finished.has(task.index);
+  // Seen on a machine without our having started it: adopted if it is ours to run, else stopped and counted
+  // until it is gone.
+  const spec = job?.spec ?? ctx.pastSpec(task);
+  const found: Binding = {
+    id,
+    job: task.job,
+    index: task.index,
+    attempt: task.attempt,
+    machine: machine.id,
+    spec,
+    phase: task.state,
+    boundAt: ctx.now,
+    runningSince: task.state === 'fetching' ? null : ctx.now,
+    stop: open ? null : { grace: 0, direct: 'due' },
+    inFlight: false,
+    due: false,
+    doubt: null,
+    answered: null,
+  };
+  if (open) bind(part, machine, found);
+  else {
+    machine.bindings.set(id, found);
+    if (!elsewhere) part.bound.set(id, found);
+    job?.waiting.remove(task.index);
+    ctx.log.info({ task: id, machine: machine.id, attempt: task.attempt }, 'not ours to run, stopping');
+  }
+  if (task.state !== 'fetching' && spec) machine.images.set(spec.image, ctx.now);
+}
+
+function progress(
+  machine: Machine,
+  b: Binding,
+  state: 'fetching' | 'running' | 'saving',
+  ctx: ReportContext,
+): void {
+  if (b.phase !== state) ctx.log.debug({ task: b.id, machine: machine.id, state }, 'task moves on');
+  b.phase = state;
+  b.due = false;
+  if (state === 'fetching') return;
+  b.runningSince ??= ctx.now;
+  if (b.spec) machine.images.set(b.spec.image, ctx.now);
+}
+
+/** Not in the worker's list. Only certain when nothing that could still start it is on its way. */
+function applyAbsent(part: Part, machine: Machine, b: Binding, channel: Channel, ctx: ReportContext): void {
+  if (b.inFlight || b.doubt) return;
+  if (b.answered !== null) {
+    // Launched in the answer to a report: settled only by the worker's next report, which it sends after it
+    // has executed or dropped that answer.
+    if (channel !== 'report' || machine.sequence <= b.answered) return;
+  } else if (b.phase === 'ordered' && b.due) return;
+  ctx.log.debug({ task: b.id, machine: machine.id, attempt: b.attempt }, 'not on its machine');
+  unbind(part, machine, b);
+}
--- /dev/null
+++ b/src/workers/wire.ts
@@ -0,0 +1,145 @@
+/** Workers' messages, between their words and ours. */
+import * as v from 'valibot';
+import type {
+  Address,
+  Attempt,
+  JobId,
+  MachineId,
+  NodeId,
+  Seconds,
+  Sequence,
+  Session,
+  TaskIndex,
+  Token,
+  TypeId,
+  ZoneId,
+} from '../units.js';
+import { splitTaskId, taskId } from '../units.js';
+
+export type ExitCause = 'done' | 'stopped' | 'error' | 'no-room' | 'busy' | 'unknown';
+
+export interface ReportedTask {
+  readonly job: JobId;
+  readonly index: TaskIndex;
+  readonly attempt: Attempt;
+  readonly state: 'fetching' | 'running' | 'saving' | 'exited';
+  readonly cause: ExitCause | null;
+}
+
+export interface Report {
+  readonly machine: MachineId;
+  readonly address: Address;
+  readonly type: TypeId;
+  readonly zone: ZoneId;
+  readonly spot: boolean;
+  readonly session: Session;
+  readonly sequence: Sequence;
+  readonly token: Token;
+  readonly noticeS: Seconds | null;
+  readonly tasks: readonly ReportedTask[];
+}
+
+export type Order =
+  | { readonly op: 'start'; readonly job: JobId; readonly index: TaskIndex; readonly attempt: Attempt }
+  | {
+      readonly op: 'stop';
+      readonly job: JobId;
+      readonly index: TaskIndex;
+      readonly attempt: Attempt;
+      readonly grace: Seconds;
+    }
+  | { readonly op: 'forget'; readonly job: JobId; readonly index: TaskIndex; readonly attempt: Attempt };
+
+const whole = v.pipe(v.number(), v.integer(), v.minValue(0));
+const STATES = { pulling: 'fetching', running: 'running', saving: 'saving', exited: 'exited' } as const;
+const CAUSES: Record<string, ExitCause> = {
+  done: 'done',
+  halted: 'stopped',
+  error: 'error',
+  full: 'no-room',
+  busy: 'busy',
+  unknown: 'unknown',
+};
+
+const report = v.object({
+  berth: v.pipe(v.string(), v.regex(/^[\x21-\x7e]{1,100}$/)),
+  endpoint: v.pipe(v.string(), v.regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/)),
+  hull: v.string(),
+  harbor: v.string(),
+  driftboats: v.boolean(),
+  watch: whole,
+  logNo: whole,
+  helm: whole,
+  recallS: v.optional(v.nullable(v.pipe(v.number(), v.finite())), null),
+  legs: v.optional(
+    v.nullable(
+      v.array(
+        v.object({
+          leg: v.string(),
+          sailing: whole,
+          status: v.picklist(['pulling', 'running', 'saving', 'exited']),
+          cause: v.optional(v.nullable(v.string()), null),
+        }),
+      ),
+    ),
+    null,
+  ),
+});
+
+export function decodeReport(body: unknown): Report | null {
+  const result = v.safeParse(report, body);
+  if (!result.success) return null;
+  const r = result.output;
+  const tasks: ReportedTask[] = [];
+  for (const t of r.legs ?? []) {
+    const name = splitTaskId(t.leg);
+    if (!name) return null;
+    const state = STATES[t.status];
+    // A cause we do not know ends the task like an error: it is not running, and not done.
+    const cause = state === 'exited' ? (CAUSES[t.cause ?? ''] ?? 'error') : null;
+    tasks.push({ ...name, attempt: t.sailing as Attempt, state, cause });
+  }
+  return {
+    machine: r.berth as MachineId,
+    address: r.endpoint as Address,
+    type: r.hull as TypeId,
+    zone: r.harbor as ZoneId,
+    spot: r.driftboats,
+    session: r.watch as Session,
+    sequence: r.logNo as Sequence,
+    token: r.helm as Token,
+    noticeS: r.recallS as Seconds | null,
+    tasks,
+  };
+}
+
+export function parseReport(body: Buffer): Report | null {
+  try {
+    return decodeReport(JSON.parse(body.toString('utf8')));
+  } catch {
+    return null;
+  }
+}
+
+function encodeOrder(o: Order): unknown {
+  const task = { leg: taskId(o.job, o.index), sailing: o.attempt };
+  if (o.op === 'start') return { order: 'launch', ...task };
+  if (o.op === 'stop') return { order: 'kill', ...task, ebbS: o.grace };
+  return { order: 'clear', ...task };
+}
+
+/** The answer to a report. */
+export const encodeReply = (token: Token, orders: readonly Order[]): unknown => ({
+  helm: token,
+  orders: orders.map(encodeOrder),
+});
+
+/** Orders sent straight to a worker. */
+export const encodeDirect = (token: Token, session: Session, orders: readonly Order[]): unknown => ({
+  helm: token,
+  watch: session,
+  orders: orders.map(encodeOrder),
+});
+
+export const encodeRedirect = (owner: NodeId | null): unknown =>
+  owner === null ? {} : { harbormaster: owner };
