--- a/eslint.config.js
+++ b/eslint.config.js
@@ -15,6 +15,9 @@
       'max-lines-per-function': ['error', { max: 90, skipComments: true, skipBlankLines: true }],
     },
   },
-  { files: ['test/**'], rules: { 'max-lines-per-function': 'off', '@typescript-eslint/no-floating-promises': 'off' } },
+  {
+    files: ['test/**'],
+    rules: { 'max-lines-per-function': 'off', '@typescript-eslint/no-floating-promises': 'off' },
+  },
   { files: ['**/*.js', '**/*.mjs'], ...tseslint.configs.disableTypeChecked },
 );
--- a/src/workers/desk.ts
+++ b/src/workers/desk.ts
@@ -6,10 +6,10 @@
 import { newMachine } from '../parts/model.js';
 import type { Ownership } from '../parts/ownership.js';
 import { accountFor } from '../parts/ownership.js';
-import { decodeMachine, machineKey, type MachineRecord } from '../parts/records.js';
+import { decodeMachine, machineKey, MACHINES, type MachineRecord } from '../parts/records.js';
 import type { RunTimes } from '../placement/runtimes.js';
 import { Rank } from '../state/budget.js';
-import type { MachineId, NodeId, PartId, Session, SteadyMs } from '../units.js';
+import type { MachineId, PartId, Session, SteadyMs } from '../units.js';
 import { millis, plus, steady } from '../units.js';
 import { applyReport, endSession, type ReportContext } from './reports.js';
 import { ordersDirect, ordersInAnswer } from './orders.js';
@@ -74,7 +74,7 @@
     this.ownership.noteStray(named, report.machine);
     const owner = this.core.partRecord(named)?.owner ?? null;
     const known = owner !== null && owner !== this.core.settings.node && this.core.heard(owner, millis(2500));
-    return { status: 421, body: encodeRedirect(known ? (owner) : null) };
+    return { status: 421, body: encodeRedirect(known ? owner : null) };
   }
 
   private context(now: SteadyMs): ReportContext {
@@ -271,7 +271,7 @@
   /** Do workers of a part answer us at all? Asked before we take a part back. */
   async workersAnswer(part: PartId): Promise<boolean> {
     const addresses: string[] = [];
-    for (const entry of this.core.view.under('c/machines/')) {
+    for (const entry of this.core.view.under(MACHINES)) {
       const m = decodeMachine(entry.value);
       if (m && m.part === part && m.address !== '') addresses.push(m.address);
     }
@@ -299,17 +299,23 @@
   return doubt !== null && doubt.token >= part.token && now - doubt.since > DOUBT_PATIENCE;
 }
 
-/** Parts follow zones: among those whose controller sits in the machine's zone, the one with fewest CPUs. */
-export function choosePart(core: Core, report: Pick<Report, 'zone'>): PartId {
-  const counts = new Map<PartId, number>(core.settings.parts.map((p) => [p.part, 0]));
-  for (const entry of core.view.under('c/machines/')) {
-    const m = decodeMachine(entry.value);
-    if (m) counts.set(m.part, (counts.get(m.part) ?? 0) + (core.types.get(m.type)?.cpus ?? 1));
-  }
+/**
+ * Parts follow zones: among those whose controller sits in the machine's zone, by turns in name order, which
+ * every controller counts alike while many machines are named at once, unless that part is clearly ahead.
+ */
+export function choosePart(core: Core, report: Pick<Report, 'zone' | 'machine'>): PartId {
   const near = core.settings.parts.filter((p) => p.zone === report.zone);
   const pool = near.length > 0 ? near : core.settings.parts;
-  const best = [...pool].sort(
-    (a, b) => (counts.get(a.part) ?? 0) - (counts.get(b.part) ?? 0) || a.part - b.part,
-  )[0];
-  return best?.part ?? core.settings.part;
+  const cpus = new Map<PartId, number>(pool.map((p) => [p.part, 0]));
+  let largest = 1;
+  for (const entry of core.view.under(MACHINES)) {
+    const m = decodeMachine(entry.value);
+    const size = m ? (core.types.get(m.type)?.cpus ?? 1) : 1;
+    largest = Math.max(largest, size);
+    if (m && cpus.has(m.part)) cpus.set(m.part, (cpus.get(m.part) ?? 0) + size);
+  }
+  const number = Number(/\d+$/.exec(report.machine)?.[0] ?? 0);
+  const turn = pool[number % pool.length]?.part ?? core.settings.part;
+  const least = [...cpus].sort((a, b) => a[1] - b[1] || a[0] - b[0])[0];
+  return least && (cpus.get(turn) ?? 0) - least[1] > 1.5 * largest ? least[0] : turn;
 }
