--- a/src/cli/cli.ts
+++ b/src/cli/cli.ts
@@ -1,7 +1,7 @@
 /** The command line: serve, check the settings, help, version. */
 import { readFileSync } from 'node:fs';
 import { Command, CommanderError } from 'commander';
-import { Controller } from '../controller.js';
+import { Controller, networkPorts } from '../controller.js';
 import { openLog } from '../log.js';
 import { KNOBS, loadSettings, loadTuning, logLevelOf, SettingsError } from '../settings/settings.js';
 import { systemClock } from '../units.js';
@@ -29,7 +29,8 @@
   const level = logLevelOf(process.env['LOG_LEVEL']);
   const settings = loadSettings(options.config);
   const tuning = loadTuning(options.properties);
-  await new Controller(settings, tuning, systemClock, openLog(level, settings.node)).run();
+  const log = openLog(level, settings.node);
+  await new Controller(settings, tuning, systemClock, log, networkPorts(settings, log)).run();
 }
 
 function check(options: Options): void {
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -7,13 +7,13 @@
 import { composeNews, offerOf, receive, zoneOfPart } from './flock/news.js';
 import { seededRandom } from './flock/willing.js';
 import { HttpClient } from './http/client.js';
-import { serve, type Answer, type Request } from './http/server.js';
+import { serve, type Answer, type Handler, type Request } from './http/server.js';
 import { JobDesk } from './jobs/desk.js';
 import { ProgressWriter } from './jobs/progress.js';
 import { LIVE, type Assignment } from './jobs/record.js';
 import type { JobSpec } from './jobs/spec.js';
 import type { Log } from './log.js';
-import { openMesh } from './mesh/mesh.js';
+import { openMesh, type Mesh } from './mesh/mesh.js';
 import { syncJob } from './parts/model.js';
 import { Ownership } from './parts/ownership.js';
 import { ALIVE, decodeMachine, FOLLOWED, MACHINES, PARTS } from './parts/records.js';
@@ -21,15 +21,49 @@
 import { Scheduler } from './placement/scheduler.js';
 import { QuotaDesk } from './quota/desk.js';
 import type { Settings, Tuning } from './settings/settings.js';
-import { StateClient } from './state/client.js';
+import { StateClient, type Caller } from './state/client.js';
 import { Follower } from './state/follower.js';
 import { View } from './state/view.js';
-import type { Clock, Incarnation, JobId, MachineId, PartId, Revision } from './units.js';
+import type { Address, Clock, Incarnation, JobId, MachineId, PartId, Revision } from './units.js';
 import { millis } from './units.js';
-import { WorkerDesk } from './workers/desk.js';
+import { WorkerDesk, type WorkerLink } from './workers/desk.js';
 
 const TICK = millis(200);
 const ALONE_AFTER = millis(6000);
+/** Kept for what we dial ourselves: state service, cloud, peers, workers. */
+const RESERVED_SOCKETS = 80;
+
+/** Everything a controller reaches outside its process; tests put stand-ins here. */
+export interface Ports {
+  readonly state: Caller;
+  readonly stateWatch: Caller;
+  readonly cloud: Caller;
+  readonly worker: (address: Address) => WorkerLink;
+  readonly mesh: (receive: (message: unknown) => void) => Mesh;
+  readonly listen: (handler: Handler) => Promise<void>;
+  readonly incarnation: () => Incarnation;
+}
+
+export function networkPorts(settings: Settings, log: Log): Ports {
+  const peers = settings.peers.map((p) => ({ node: p.node, address: p.address }));
+  const options = {
+    maxConnections: Math.max(16, settings.maxConnections - RESERVED_SOCKETS),
+    receive: millis(10_000),
+    idle: millis(120_000),
+    answer: millis(4500),
+  };
+  return {
+    state: new HttpClient(settings.state, 12),
+    stateWatch: new HttpClient(settings.state, 2, 64 * 1024 * 1024),
+    cloud: new HttpClient(settings.cloud, 3),
+    worker: (address) => new HttpClient(address, 2, 1024 * 1024),
+    mesh: (receive) => openMesh(settings.meshListen, peers, receive, log),
+    listen: async (handler) => {
+      await serve(settings.listen, handler, options, log);
+    },
+    incarnation: () => randomBytes(6).toString('hex') as Incarnation,
+  };
+}
 
 export class Controller {
   private readonly core: Core;
@@ -44,27 +78,26 @@
   private lastNews = -1e12;
   private lastOffer = '';
 
-  constructor(settings: Settings, tuning: Tuning, clock: Clock, log: Log) {
-    const incarnation = randomBytes(6).toString('hex') as Incarnation;
+  constructor(
+    settings: Settings,
+    tuning: Tuning,
+    clock: Clock,
+    log: Log,
+    private readonly ports: Ports,
+  ) {
     const random = seededRandom(tuning.seed + settings.part);
-    this.core = new Core(settings, tuning, clock, log, incarnation, random);
+    this.core = new Core(settings, tuning, clock, log, ports.incarnation(), random);
     const { core } = this;
     const unit = (): number => random(10_000) / 10_000;
-    core.state = new StateClient(
-      new HttpClient(settings.state, 12),
-      new HttpClient(settings.state, 2, 64 * 1024 * 1024),
-      clock,
-      settings,
-      unit,
-    );
-    core.cloud = new CloudClient(new HttpClient(settings.cloud, 3), clock, settings);
+    core.state = new StateClient(ports.state, ports.stateWatch, clock, settings, unit);
+    core.cloud = new CloudClient(ports.cloud, clock, settings);
     core.view = new View((key, value, version) => this.onChange(key, value, version));
     const gap = millis(Math.max(25, (settings.parts.length * 1000) / (settings.stateRps * 0.3)));
     this.follower = new Follower(core.state, core.view, FOLLOWED, tuning.followBlock, gap, clock, unit, log);
     core.stateHealthy = () => this.follower.healthy;
     const runTimes = new RunTimes();
     this.ownership = new Ownership(core, (p) => this.workers.workersAnswer(p));
-    this.workers = new WorkerDesk(core, this.ownership, runTimes);
+    this.workers = new WorkerDesk(core, this.ownership, runTimes, ports.worker);
     this.jobs = new JobDesk(core, (spec) => this.assign(spec));
     this.quota = new QuotaDesk(core);
     this.fleet = new Fleet(core, runTimes, (part, m) => this.workers.remove(part, m));
@@ -75,15 +108,8 @@
 
   async run(): Promise<void> {
     const { settings, clock, log } = this.core;
-    const peers = settings.peers.map((p) => ({ node: p.node, address: p.address }));
-    this.core.mesh = openMesh(settings.meshListen, peers, (m) => this.onMessage(m), log);
-    const options = {
-      maxConnections: Math.max(16, settings.maxConnections - 80),
-      receive: millis(10_000),
-      idle: millis(120_000),
-      answer: millis(4500),
-    };
-    await serve(settings.listen, (r) => this.route(r), options, log);
+    this.core.mesh = this.ports.mesh((m) => this.onMessage(m));
+    await this.ports.listen((r) => this.route(r));
     log.info(
       { listen: settings.listen, mesh: settings.meshListen, incarnation: this.core.incarnation },
       'started',
--- a/src/workers/desk.ts
+++ b/src/workers/desk.ts
@@ -1,6 +1,6 @@
 /** Workers' reports and the orders sent straight to them. */
 import type { Core } from '../core.js';
-import { HttpClient, type Outcome } from '../http/client.js';
+import type { Outcome } from '../http/client.js';
 import type { Answer } from '../http/server.js';
 import type { Binding, Machine, Part } from '../parts/model.js';
 import { newMachine } from '../parts/model.js';
@@ -8,8 +8,9 @@
 import { accountFor } from '../parts/ownership.js';
 import { decodeMachine, machineKey, MACHINES, type MachineRecord } from '../parts/records.js';
 import type { RunTimes } from '../placement/runtimes.js';
+import type { Caller } from '../state/client.js';
 import { Rank } from '../state/budget.js';
-import type { MachineId, PartId, Session, SteadyMs } from '../units.js';
+import type { Address, MachineId, PartId, Session, SteadyMs } from '../units.js';
 import { millis, plus, steady } from '../units.js';
 import { applyReport, endSession, type ReportContext } from './reports.js';
 import { ordersDirect, ordersInAnswer } from './orders.js';
@@ -19,8 +20,13 @@
 const DOUBT_PATIENCE = 3000;
 const REFUSE: Answer = { status: 503, body: { error: 'not entitled now' }, retryAfterS: 1 };
 
+/** A way to one worker's own address. */
+export interface WorkerLink extends Caller {
+  close(): void;
+}
+
 export class WorkerDesk {
-  private readonly clients = new Map<string, HttpClient>();
+  private readonly clients = new Map<string, WorkerLink>();
   private readonly adopting = new Set<MachineId>();
   private raisedAt = steady(-1e12);
 
@@ -28,6 +34,7 @@
     private readonly core: Core,
     private readonly ownership: Ownership,
     private readonly runTimes: RunTimes,
+    private readonly dial: (address: Address) => WorkerLink,
   ) {}
 
   async report(body: Buffer): Promise<Answer> {
@@ -176,10 +183,10 @@
     return false;
   }
 
-  private client(address: string): HttpClient {
+  private client(address: Address): WorkerLink {
     let client = this.clients.get(address);
     if (!client) {
-      client = new HttpClient(address as never, 2, 1024 * 1024);
+      client = this.dial(address);
       this.clients.set(address, client);
     }
     return client;
@@ -270,7 +277,7 @@
 
   /** Do workers of a part answer us at all? Asked before we take a part back. */
   async workersAnswer(part: PartId): Promise<boolean> {
-    const addresses: string[] = [];
+    const addresses: Address[] = [];
     for (const entry of this.core.view.under(MACHINES)) {
       const m = decodeMachine(entry.value);
       if (m && m.part === part && m.address !== '') addresses.push(m.address);
--- /dev/null
+++ b/test/standins/state.ts
@@ -0,0 +1,181 @@
+/** Stand-in for the state service, from its published protocol: versions, leases, watches, outages. */
+import type { Call, Outcome } from '../../src/http/client.js';
+import type { SimClock } from './clock.js';
+
+interface Row {
+  data: unknown;
+  entry: number;
+  mooring: number | undefined;
+}
+
+interface TxnBody {
+  when: { path: string; entry: number }[];
+  apply?: { put?: string; drop?: string; data?: unknown; mooring?: number }[];
+}
+
+const answer = (status: number, body: unknown): Outcome => ({
+  kind: 'answer',
+  status,
+  body: JSON.parse(JSON.stringify(body)) as unknown,
+});
+
+export class StateStandin {
+  readonly rows = new Map<string, Row>();
+  private ledger = 0;
+  private leases = new Map<number, { ttl: number; ends: number }>();
+  private nextLease = 1;
+  private history: { entry: number; put?: string; drop?: string; data?: unknown }[] = [];
+  private watches = new Set<() => void>();
+  outage = false;
+  /** Nodes that alone are refused. */
+  readonly refused = new Set<string>();
+  /** Nodes whose packets get lost: nothing arrives, nothing answers. */
+  readonly cut = new Set<string>();
+  /** Decides the fate of a transaction: lose its answer, or hold it back for some milliseconds. */
+  fate: (node: string, body: TxnBody) => 'normal' | 'lose-answer' | { holdMs: number } = () => 'normal';
+
+  constructor(private readonly clock: SimClock) {}
+
+  async call(node: string, call: Call): Promise<Outcome> {
+    if (this.cut.has(node)) {
+      await this.clock.sleep(call.timeout);
+      return { kind: 'unknown' };
+    }
+    await this.clock.sleep(3);
+    if (call.path.startsWith('/follow')) return this.follow(node, call);
+    if (this.outage || this.refused.has(node)) return answer(503, {});
+    if (call.path === '/txn') return this.txn(node, call);
+    await this.clock.sleep(3);
+    return this.other(call);
+  }
+
+  private async txn(node: string, call: Call): Promise<Outcome> {
+    const body = JSON.parse(JSON.stringify(call.body)) as TxnBody;
+    const fate = this.fate(node, body);
+    if (typeof fate === 'object') {
+      this.clock.after(fate.holdMs, () => this.apply(body));
+      await this.clock.sleep(call.timeout);
+      return { kind: 'unknown' };
+    }
+    const result = this.apply(body);
+    if (fate === 'lose-answer') {
+      await this.clock.sleep(call.timeout);
+      return { kind: 'unknown' };
+    }
+    await this.clock.sleep(3);
+    return result;
+  }
+
+  apply(body: TxnBody): Outcome {
+    this.expire();
+    const failed = body.when
+      .filter((c) => (this.rows.get(c.path)?.entry ?? 0) !== c.entry)
+      .map((c) => c.path);
+    if (failed.length > 0) return answer(409, { failed, ledger: this.ledger });
+    for (const a of body.apply ?? []) {
+      if (a.mooring !== undefined && !this.leases.has(a.mooring))
+        return answer(400, { error: 'no such lease' });
+    }
+    if ((body.apply ?? []).length > 0) this.ledger += 1;
+    for (const a of body.apply ?? []) {
+      if (a.put !== undefined) {
+        this.rows.set(a.put, { data: a.data, entry: this.ledger, mooring: a.mooring });
+        this.history.push({ put: a.put, data: a.data, entry: this.ledger });
+      } else if (a.drop !== undefined && this.rows.delete(a.drop)) {
+        this.history.push({ drop: a.drop, entry: this.ledger });
+      }
+    }
+    this.notify();
+    return answer(200, { ledger: this.ledger });
+  }
+
+  private notify(): void {
+    for (const watch of [...this.watches]) watch();
+  }
+
+  private expire(): void {
+    if (this.outage) return;
+    const now = this.clock.now();
+    for (const [id, lease] of this.leases) {
+      if (now < lease.ends) continue;
+      this.leases.delete(id);
+      for (const [key, row] of this.rows) {
+        if (row.mooring !== id) continue;
+        this.ledger += 1;
+        this.rows.delete(key);
+        this.history.push({ drop: key, entry: this.ledger });
+      }
+      this.notify();
+    }
+  }
+
+  /** Every lease has its full time again after an outage. */
+  endOutage(): void {
+    this.outage = false;
+    for (const lease of this.leases.values()) lease.ends = this.clock.now() + lease.ttl;
+    this.notify();
+  }
+
+  private other(call: Call): Outcome {
+    this.expire();
+    if (call.path === '/leases') {
+      const id = this.nextLease++;
+      const ttl = (call.body as { ttlMs: number }).ttlMs;
+      this.leases.set(id, { ttl, ends: this.clock.now() + ttl });
+      this.clock.after(ttl + 1, () => this.expire());
+      return answer(200, { mooring: id });
+    }
+    const renew = /^\/leases\/(\d+)\/renew$/.exec(call.path);
+    if (renew) {
+      const lease = this.leases.get(Number(renew[1]));
+      if (!lease) return answer(404, {});
+      lease.ends = this.clock.now() + lease.ttl;
+      this.clock.after(lease.ttl + 1, () => this.expire());
+      return answer(200, { mooring: Number(renew[1]) });
+    }
+    const url = new URL(call.path, 'http://state');
+    if (url.pathname === '/kv') return this.list(url);
+    const key = decodeURIComponent(url.pathname.slice(4));
+    const row = this.rows.get(key);
+    return row
+      ? answer(200, { path: key, data: row.data, entry: row.entry })
+      : answer(404, { ledger: this.ledger });
+  }
+
+  private list(url: URL): Outcome {
+    const under = url.searchParams.get('under') ?? '';
+    const after = url.searchParams.get('from') ?? '';
+    const most = Number(url.searchParams.get('most') ?? 1000);
+    const keys = [...this.rows.keys()].filter((k) => k.startsWith(under) && k > after).sort();
+    const entries = keys
+      .slice(0, most)
+      .map((k) => ({ path: k, data: this.rows.get(k)?.data, entry: this.rows.get(k)?.entry }));
+    return answer(200, { entries, hasNext: keys.length > most, ledger: this.ledger });
+  }
+
+  private async follow(node: string, call: Call): Promise<Outcome> {
+    const url = new URL(call.path, 'http://state');
+    const under = url.searchParams.get('under') ?? '';
+    const from = Number(url.searchParams.get('from') ?? 0);
+    const block = Number(url.searchParams.get('blockMs') ?? 0);
+    const silent = (): boolean => this.outage || this.refused.has(node) || this.cut.has(node);
+    if (silent()) return answer(503, {});
+    const news = (): typeof this.history =>
+      this.history.filter((h) => h.entry > from && (h.put ?? h.drop ?? '').startsWith(under));
+    const ends = this.clock.now() + block;
+    const gone = this.clock.now() + call.timeout;
+    while (silent() || (news().length === 0 && this.clock.now() < ends)) {
+      if (this.clock.now() >= gone) return { kind: 'unknown' };
+      await new Promise<void>((resolve) => {
+        const done = (): void => {
+          this.watches.delete(done);
+          resolve();
+        };
+        this.watches.add(done);
+        this.clock.after(silent() ? 200 : Math.max(1, ends - this.clock.now()), done);
+      });
+    }
+    await this.clock.sleep(2);
+    return answer(200, { ledger: this.ledger, news: news() });
+  }
+}
--- /dev/null
+++ b/test/standins/world.ts
@@ -0,0 +1,424 @@
+/** Three controllers in one simulated world, a record of what happens, and a judge of the rules. */
+import { Controller, type Ports } from '../../src/controller.js';
+import type { Call, Outcome } from '../../src/http/client.js';
+import type { Answer, Handler } from '../../src/http/server.js';
+import { silentLog } from '../../src/log.js';
+import { parseSettings, parseTuning, type Settings } from '../../src/settings/settings.js';
+import type { Incarnation } from '../../src/units.js';
+import { SimClock, settle } from './clock.js';
+import { StateStandin } from './state.js';
+import { WorkerStandin, type JobFacts, type WorkerWorld } from './worker.js';
+
+const ZONES = ['east', 'west', 'east'];
+
+export function settingsText(node: number): string {
+  const known = [0, 1, 2]
+    .filter((n) => n !== node)
+    .map((n) => `[[known]]\nlabel = "n${n}"\ndomain = "${ZONES[n]}"\npeer_addr = "10.0.0.${n + 1}:8081"\n`)
+    .join('\n');
+  return `label = "n${node}"
+domain = "${ZONES[node]}"
+bind = "10.0.0.${node + 1}:8080"
+mesh_addr = "10.0.0.${node + 1}:8081"
+${known}
+[services]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[facts]
+zones = ["east", "west"]
+[[facts.teams]]
+name = "red"
+cpus = 12.0
+cpus_max = 24.0
+[[facts.teams]]
+name = "blue"
+cpus = 12.0
+cpus_max = 24.0
+[facts.workers]
+report_s = 1.5
+lease_s = 12.0
+cancel_s = 32.0
+[facts.state]
+rps = 100.0
+write_rps = 20.0
+value_kb = 4.0
+txn_ops = 12
+[facts.cloud]
+rps = 5.0
+list_lag_s = 3.0
+[facts.quota]
+max_connections = 1000
+`;
+}
+
+interface Node {
+  controller: Controller | null;
+  handler: Handler | null;
+  mesh: ((message: unknown) => void) | null;
+  life: number;
+}
+
+interface JobEntry extends JobFacts {
+  readonly team: string;
+  readonly tasks: number;
+  readonly spread: boolean;
+  readonly spot: boolean;
+  readonly zone: string | null;
+  readonly types: readonly string[] | null;
+  cancelledAt: number | null;
+  told: string | null;
+}
+
+export interface JobOptions {
+  readonly tasks?: number;
+  readonly team?: string;
+  readonly cpus?: number;
+  readonly runMs?: number;
+  readonly service?: boolean;
+  readonly rank?: string;
+  readonly spread?: boolean;
+  readonly spot?: boolean;
+  readonly zone?: string | null;
+  readonly fails?: boolean;
+  readonly saveS?: number;
+  readonly image?: string;
+  readonly types?: string[] | null;
+}
+
+export class World {
+  readonly clock = new SimClock();
+  readonly state = new StateStandin(this.clock);
+  readonly nodes: Node[] = [0, 1, 2].map(() => ({ controller: null, handler: null, mesh: null, life: 0 }));
+  readonly workers = new Map<string, WorkerStandin>();
+  readonly jobs = new Map<string, JobEntry>();
+  readonly lines: string[] = [];
+  readonly broken: string[] = [];
+  /** Cuts between two ends, like `n0|m-0` or `n0|n1`: nothing passes. */
+  readonly cuts = new Set<string>();
+  /** Direct orders that get no answer and arrive this much later. */
+  holdOrders: (node: number, worker: string) => number | null = () => null;
+  cloudOutage = false;
+  capacity = 0;
+  rentals: unknown[] = [];
+  private machines = 0;
+
+  trace(line: string): void {
+    this.lines.push(`${this.clock.stamp()}  ${line}`);
+  }
+
+  private cut(a: string, b: string): boolean {
+    return this.cuts.has(`${a}|${b}`) || this.cuts.has(`${b}|${a}`);
+  }
+
+  async startNode(n: number): Promise<void> {
+    const node = this.nodes[n] as Node;
+    node.life += 1;
+    const life = node.life;
+    const settings = parseSettings(settingsText(n), `n${n}.toml`);
+    node.controller = new Controller(
+      settings,
+      parseTuning('', 'none'),
+      this.clockOf(node, life),
+      silentLog(),
+      this.ports(n, life, settings),
+    );
+    this.trace(`n${n} starts`);
+    await node.controller.run();
+  }
+
+  /** Timers of a process that ended never fire. */
+  private clockOf(node: Node, life: number): SimClock {
+    const { clock } = this;
+    const guarded = Object.create(clock) as SimClock;
+    guarded.now = () => clock.now();
+    guarded.after = (delay, run) => clock.after(delay, () => (node.life === life ? run() : undefined));
+    return guarded;
+  }
+
+  killNode(n: number): void {
+    const node = this.nodes[n] as Node;
+    node.life += 1;
+    node.handler = null;
+    node.mesh = null;
+    this.trace(`n${n} is killed`);
+  }
+
+  private ports(n: number, life: number, settings: Settings): Ports {
+    const node = this.nodes[n] as Node;
+    const alive = (): boolean => node.life === life;
+    const never = new Promise<Outcome>(() => undefined);
+    const guard = async (work: Promise<Outcome>): Promise<Outcome> => {
+      const outcome = await work;
+      return alive() ? outcome : never;
+    };
+    const state = { call: (call: Call) => guard(this.state.call(`n${n}`, call)) };
+    return {
+      state,
+      stateWatch: state,
+      cloud: { call: (call) => guard(this.cloudCall(call)) },
+      worker: (address) => ({
+        call: (call) => guard(this.workerCall(n, address, call)),
+        close: () => undefined,
+      }),
+      mesh: (receive) => {
+        node.mesh = receive;
+        const send = (to: string, message: unknown): void => {
+          const copy = JSON.parse(JSON.stringify(message)) as unknown;
+          if (alive() && !this.cut(`n${n}`, to))
+            this.clock.after(2, () => this.nodes[Number(to.slice(1))]?.mesh?.(copy));
+        };
+        return { send, broadcast: (m) => settings.peers.forEach((p) => send(p.node, m)) };
+      },
+      listen: (handler) => {
+        node.handler = handler;
+        return Promise.resolve();
+      },
+      incarnation: () => `n${n}-${life}` as Incarnation,
+    };
+  }
+
+  private async workerCall(n: number, address: string, call: Call): Promise<Outcome> {
+    const worker = [...this.workers.values()].find((w) => w.address === address);
+    await this.clock.sleep(1);
+    const hold = worker ? this.holdOrders(n, worker.id) : null;
+    if (!worker || worker.hanging || this.cut(`n${n}`, worker.id) || hold !== null) {
+      if (hold !== null) this.clock.after(hold, () => worker?.arrive(call));
+      await this.clock.sleep(call.timeout);
+      return hold === null ? { kind: 'unsent' } : { kind: 'unknown' };
+    }
+    return worker.arrive(call);
+  }
+
+  private async cloudCall(call: Call): Promise<Outcome> {
+    await this.clock.sleep(100);
+    const answer = (status: number, body: unknown): Outcome => ({ kind: 'answer', status, body });
+    if (this.cloudOutage) return answer(503, { error: 'trouble' });
+    if (call.path === '/catalog') {
+      const type = (name: string, vcpus: number): unknown => ({
+        name,
+        vcpus,
+        cards: 0,
+        memoryGb: 64,
+        cacheGb: 50,
+        pullGbPerS: 1,
+        rate: vcpus / 10,
+        lowPrice: vcpus / 30,
+        startupS: 5,
+        harbors: ['east', 'west'],
+      });
+      return answer(200, { hulls: [type('small', 4), type('large', 8)] });
+    }
+    if (call.path === '/hosts/delete') {
+      for (const id of (call.body as { berths: string[] }).berths) this.removeWorker(id, 'returned');
+      return answer(200, {});
+    }
+    if (call.path === '/hosts') return this.rent(call, answer);
+    const berths = [...this.workers.values()].map((w) => ({
+      uid: w.id,
+      endpoint: w.address,
+      hull: w.type,
+      harbor: w.zone,
+      driftboats: w.spot,
+      status: 'running',
+      ageS: 1,
+    }));
+    return answer(200, { berths, hasNext: false });
+  }
+
+  private rent(call: Call, answer: (status: number, body: unknown) => Outcome): Outcome {
+    const r = call.body as { hull: string; harbor: string; driftboats: boolean; number: number };
+    this.rentals.push(r);
+    const count = Math.min(this.capacity, r.number);
+    if (count === 0) return answer(503, { error: 'no capacity' });
+    this.capacity -= count;
+    const ids = Array.from({ length: count }, () => this.nextMachine());
+    this.trace(`cloud rents ${ids.join(' ')} (${r.hull}, ${r.harbor}${r.driftboats ? ', spot' : ''})`);
+    this.clock.after(5000, () => {
+      for (const id of ids) this.boot(id, r.hull, r.harbor, r.driftboats);
+    });
+    return answer(200, { berths: ids });
+  }
+
+  private nextMachine(): string {
+    this.machines += 1;
+    return `m-${this.machines - 1}`;
+  }
+
+  private boot(id: string, type: string, zone: string, spot: boolean): void {
+    const number = Number(id.slice(2));
+    const world: WorkerWorld = {
+      clock: this.clock,
+      reportMs: 1500,
+      leaseMs: 12_000,
+      nodes: ['n0', 'n1', 'n2'],
+      report: (n, from, body) => this.reportTo(n, from, body),
+      job: (leg) => this.jobs.get(leg.split('/')[0] ?? '') ?? null,
+      trace: (line) => this.trace(line),
+    };
+    const cpus = type === 'large' ? 8 : 4;
+    this.workers.set(id, new WorkerStandin(id, `10.1.0.${number}:9000`, type, zone, spot, cpus, world));
+  }
+
+  addWorker(type: string, zone: string, spot = false): string {
+    const id = this.nextMachine();
+    this.boot(id, type, zone, spot);
+    return id;
+  }
+
+  removeWorker(id: string, why: string): void {
+    const worker = this.workers.get(id);
+    if (!worker) return;
+    this.trace(`${id} is ${why}`);
+    worker.destroy();
+    this.workers.delete(id);
+  }
+
+  private async reportTo(n: number, from: WorkerStandin, body: unknown): Promise<Answer | null> {
+    await this.clock.sleep(1);
+    const node = this.nodes[n] as Node;
+    if (this.cut(`n${n}`, from.id)) return null;
+    if (!node.handler) return { status: 502, body: {} };
+    const answer = await this.request(n, 'POST', '/agent/beat', body);
+    return this.cut(`n${n}`, from.id) ? null : answer;
+  }
+
+  async request(n: number, method: string, path: string, body?: unknown): Promise<Answer | null> {
+    const handler = this.nodes[n]?.handler;
+    if (!handler) return null;
+    const raw = Buffer.from(body === undefined ? '' : JSON.stringify(body));
+    const answer = await handler({ method, path, body: raw });
+    return { ...answer, body: JSON.parse(JSON.stringify(answer.body)) as unknown };
+  }
+
+  /** A user's request; resolves when it is answered, the clock moving on meanwhile. */
+  async ask(
+    n: number,
+    method: string,
+    path: string,
+    body?: unknown,
+  ): Promise<{ status: number; body: Record<string, unknown> }> {
+    let answer: Answer | null | undefined;
+    void this.request(n, method, path, body).then((a) => (answer = a));
+    for (let i = 0; i < 600 && answer === undefined; i += 1) await this.step(10);
+    const given = answer ?? { status: 0, body: {} };
+    const said = given.body as Record<string, string>;
+    const what = path.replace('/v2/runs', '') || `/${(body as { uid: string }).uid}`;
+    const word = given.status === 200 || given.status === 201 ? said['status'] : said['error'];
+    this.trace(`user ${method} ${what} at n${n}: ${given.status} ${word ?? ''}`);
+    this.heard(what, given.status, said);
+    return { status: given.status, body: said };
+  }
+
+  private heard(what: string, status: number, said: Record<string, unknown>): void {
+    const job = this.jobs.get(what.split('/')[1] ?? '');
+    if (!job) return;
+    const final = job.told === 'done' || job.told === 'cancelled';
+    if (status === 404 && job.told) this.broken.push(`forgotten ${what}`);
+    if (status !== 200 && status !== 201) return;
+    const state = String(said['status']);
+    if (final && state !== job.told) this.broken.push(`went_back ${what}: ${job.told} then ${state}`);
+    if (state === 'cancelled') job.cancelledAt ??= this.clock.now();
+    job.told = state;
+  }
+
+  submission(id: string, o: JobOptions = {}): Record<string, unknown> {
+    const tasks = o.tasks ?? 1;
+    this.jobs.set(id, {
+      team: o.team ?? 'red',
+      tasks,
+      cpus: o.cpus ?? 2,
+      runMs: o.service ? Infinity : (o.runMs ?? 5000),
+      saveS: o.saveS ?? 0,
+      fails: o.fails ?? false,
+      spread: o.spread ?? false,
+      spot: o.spot ?? false,
+      zone: o.zone ?? null,
+      types: o.types ?? null,
+      cancelledAt: null,
+      told: null,
+    });
+    return {
+      uid: id,
+      lane: o.service ? 'serve' : 'work',
+      crew: o.team ?? 'red',
+      shape: o.service ? 'standing' : 'batch',
+      rank: o.rank ?? (o.service ? 'critical' : 'standard'),
+      legs: tasks,
+      vcpus: o.cpus ?? 2,
+      cards: 0,
+      memoryGb: 1,
+      cargo: o.image ?? 'img',
+      sizeGb: 1,
+      hulls: o.types ?? null,
+      harbor: o.zone ?? null,
+      samePlace: false,
+      apart: o.spread ?? false,
+      driftboats: o.spot ?? false,
+      passageS: o.service ? 0 : (o.runMs ?? 5000) / 1000,
+      moorS: o.saveS ? 5 : 0,
+      stowS: o.saveS ?? 0,
+      tideS: null,
+    };
+  }
+
+  submit(
+    n: number,
+    id: string,
+    o: JobOptions = {},
+  ): Promise<{ status: number; body: Record<string, unknown> }> {
+    return this.ask(n, 'POST', '/v2/runs', this.submission(id, o));
+  }
+
+  async step(ms: number): Promise<void> {
+    for (let left = ms; left > 0; left -= 50) {
+      await this.clock.advance(Math.min(50, left));
+      this.judge();
+    }
+  }
+
+  /** Every rule that can be seen from outside, checked every 50 ms. */
+  judge(): void {
+    const seen = new Map<string, string>();
+    const used = new Map<string, number>();
+    const zones = new Map<string, Map<string, number>>();
+    for (const w of this.workers.values()) {
+      for (const t of w.active()) {
+        const id = t.leg.split('/')[0] ?? '';
+        const job = this.jobs.get(id);
+        if (seen.has(t.leg)) this.breaks(`ran_twice ${t.leg} on ${seen.get(t.leg)} and ${w.id}`);
+        seen.set(t.leg, w.id);
+        if (!job) continue;
+        used.set(job.team, (used.get(job.team) ?? 0) + job.cpus);
+        const perZone = zones.get(id) ?? new Map<string, number>();
+        perZone.set(w.zone, (perZone.get(w.zone) ?? 0) + 1);
+        zones.set(id, perZone);
+        this.judgePlace(t.leg, job, w);
+        if (job.cancelledAt !== null && this.clock.now() > job.cancelledAt + 32_000)
+          this.breaks(`ran_cancelled ${t.leg}`);
+      }
+    }
+    for (const [team, cpus] of used) if (cpus > 24) this.breaks(`quota ${team}: ${cpus}`);
+    for (const [id, perZone] of zones) {
+      const job = this.jobs.get(id);
+      if (!job?.spread) continue;
+      for (const n of perZone.values())
+        if (n > Math.ceil(job.tasks / 2)) this.breaks(`wrong_place ${id} not spread`);
+    }
+  }
+
+  private judgePlace(leg: string, job: JobEntry, w: WorkerStandin): void {
+    if (w.spot && !job.spot) this.breaks(`wrong_place ${leg} on spot`);
+    if (job.zone !== null && job.zone !== w.zone) this.breaks(`wrong_place ${leg} in ${w.zone}`);
+    if (job.types && !job.types.includes(w.type)) this.breaks(`wrong_place ${leg} on ${w.type}`);
+  }
+
+  private breaks(what: string): void {
+    if (!this.broken.includes(what)) this.broken.push(what);
+  }
+
+  async start(nodes = [0, 1, 2]): Promise<void> {
+    for (const n of nodes) await this.startNode(n);
+    await settle();
+    await this.step(3000);
+  }
+}
