Preemption follows the ranking: no two tasks stop each other for good

Also: gangs are accepted and start all at once, as DESIGN and the real-process check expect; states and causes that we do not know no longer spoil a whole report.

--- a/src/flock/assign.ts
+++ b/src/flock/assign.ts
@@ -76,6 +76,15 @@
   return out;
 }
 
+/** A gang stays in one part: home if it has room for all, else the nearest that announced room for all. */
+function whole(ctx: AssignContext, spec: JobSpec): Assignment {
+  const own = ctx.offers.get(ctx.home);
+  const list = willingList(ctx.offers.values(), ctx.homeZone, spec, spec.zone, ctx.now, ctx.random);
+  const fitting = list.find((o) => o.capacity >= spec.tasks);
+  const home = !own || capacityFor(own, spec, spec.zone) >= spec.tasks || !fitting;
+  return { from: 0, to: spec.tasks, part: home ? ctx.home : fitting.offer.part, zone: spec.zone };
+}
+
 export function assignJob(spec: JobSpec, ctx: AssignContext): Assignment[] {
   const zones = spec.zone === null ? ctx.zones : [spec.zone];
   if (spec.spread && spec.tasks > 1) return spread(ctx, spec, zones);
@@ -83,6 +92,7 @@
     const order = [...zones].sort((a, b) => capacityInZone(ctx, spec, b) - capacityInZone(ctx, spec, a));
     return [pinned(ctx, spec, 0, spec.tasks, order[0] ?? ctx.homeZone)];
   }
+  if (spec.shape === 'gang') return [whole(ctx, spec)];
   if (spec.zone !== null) return [pinned(ctx, spec, 0, spec.tasks, spec.zone)];
   return overflow(ctx, spec);
 }
--- a/src/flock/overflow.ts
+++ b/src/flock/overflow.ts
@@ -36,8 +36,10 @@
     if (now - job.arrivedAt < rested || now - job.firstSeen < 30) continue;
     const pin = pinOf(job, u.indices[0] as number);
     const same = u.indices.filter((i) => pinOf(job, i) === pin);
-    const found = willingList(others, zoneOfPart(core, part.id), job.spec, pin, now, core.random)[0];
-    if (!found) continue;
+    const willing = willingList(others, zoneOfPart(core, part.id), job.spec, pin, now, core.random);
+    const gang = job.spec.shape === 'gang';
+    const found = gang ? willing.find((o) => o.capacity >= same.length) : willing[0];
+    if (!found || (gang && same.length < job.waiting.size)) continue;
     const count = Math.min(found.capacity, same.length);
     reserve(found.offer, job.spec, pin, count);
     return {
--- a/src/jobs/desk.ts
+++ b/src/jobs/desk.ts
@@ -47,7 +47,7 @@
 ): string | null {
   const team = core.settings.teams.get(spec.team);
   if (!team) return `unknown team ${spec.team}`;
-  const count = spec.shape === 'service' ? spec.tasks : 1;
+  const count = spec.shape === 'array' ? 1 : spec.tasks;
   if (spec.cpus * count > team.cpusMax + 1e-9) return `needs more CPUs than the limit of team ${spec.team}`;
   if (spec.gpus * count > team.gpusMax + 1e-9) return `needs more GPUs than the limit of team ${spec.team}`;
   for (const t of types) {
--- a/src/jobs/record.ts
+++ b/src/jobs/record.ts
@@ -94,7 +94,8 @@
   return { ...r, done };
 }
 
-export const isComplete = (r: JobRecord): boolean => r.spec.shape === 'array' && r.done.size === r.spec.tasks;
+export const isComplete = (r: JobRecord): boolean =>
+  r.spec.shape !== 'service' && r.done.size === r.spec.tasks;
 
 /** Gives the tasks in `moved` to another part (and zone); neighbours that agree are joined. */
 export function reassign(
--- a/src/jobs/spec.ts
+++ b/src/jobs/spec.ts
@@ -9,8 +9,11 @@
   readonly id: JobId;
   readonly lane: string;
   readonly team: TeamId;
-  /** An array's tasks complete; a service's replicas run until the job is cancelled. */
-  readonly shape: 'array' | 'service';
+  /**
+   * An array's tasks complete, each by itself; a gang's only when all run together; a service's replicas run
+   * until the job is cancelled.
+   */
+  readonly shape: 'array' | 'gang' | 'service';
   readonly priority: Priority;
   readonly tasks: number;
   readonly cpus: number;
--- a/src/placement/plan.ts
+++ b/src/placement/plan.ts
@@ -68,6 +68,7 @@
   readonly used: Map<TeamId, { cpus: number; gpus: number }>;
   readonly anybody: { cpus: number; gpus: number };
   readonly stopping: Set<Binding>;
+  readonly leaving: Map<TeamId, number>;
   searches: number;
 }
 
@@ -134,10 +135,13 @@
 const usedHere = (s: Scratch, team: TeamId): { cpus: number; gpus: number } =>
   s.used.get(team) ?? { cpus: 0, gpus: 0 };
 
+const staying = (s: Scratch, team: TeamId, ctx: PlanContext): number =>
+  usedHere(s, team).cpus - (s.leaving.get(team) ?? 0) + ctx.usedElsewhere(team);
+
 function withinGuarantee(spec: JobSpec, s: Scratch, ctx: PlanContext): boolean {
   const team = ctx.teams.get(spec.team);
   if (!team) return false;
-  return usedHere(s, spec.team).cpus + ctx.usedElsewhere(spec.team) + spec.cpus <= team.cpus + 1e-6;
+  return staying(s, spec.team, ctx) + spec.cpus <= team.cpus + 1e-6;
 }
 
 function withinShare(spec: JobSpec, s: Scratch, ctx: PlanContext): boolean {
@@ -157,15 +161,20 @@
     used: usage.teams,
     anybody: { cpus: usage.cpusAnybody, gpus: usage.gpusAnybody },
     stopping: new Set(),
+    leaving: new Map(),
     searches: 0,
   };
   for (const m of part.machines.values())
     if (usable(m, ctx)) s.room.set(m.id, roomOn(m, ctx.types.get(m.type)));
+  for (const b of part.bound.values()) if (b.stop && b.spec) leaving(s, b.spec);
   keepHeldRoom(part, s, ctx);
   const plan: Plan = { starts: [], stops: [], holds: [], unplaced: [] };
   const waiting = [...part.jobs.values()].filter((j) => !j.waiting.isEmpty && ctx.now >= j.notBefore);
   const ranked = waiting.map((j) => rank(j, s, ctx)).sort(byKey);
-  for (const { job } of ranked) placeJob(part, job, s, ctx, plan);
+  for (const { job } of ranked) {
+    if (job.spec.shape === 'gang') placeGang(part, job, s, ctx, plan);
+    else placeJob(part, job, s, ctx, plan);
+  }
   return plan;
 }
 
@@ -185,6 +194,11 @@
   room.memoryGb -= sign * spec.memoryGb;
 }
 
+/** Told to stop: it no longer counts for the team's guarantee, but for its limit until it is seen gone. */
+function leaving(s: Scratch, spec: JobSpec): void {
+  s.leaving.set(spec.team, (s.leaving.get(spec.team) ?? 0) + spec.cpus);
+}
+
 function charge(s: Scratch, spec: JobSpec): void {
   const used = usedHere(s, spec.team);
   s.used.set(spec.team, { cpus: used.cpus + spec.cpus, gpus: used.gpus + spec.gpus });
@@ -222,6 +236,31 @@
   if (noLimit.length > 0) plan.unplaced.push({ job, reason: 'limit', indices: noLimit });
 }
 
+/** All tasks of a gang start in the same round, or none does. */
+function placeGang(part: Part, job: PartJob, s: Scratch, ctx: PlanContext, plan: Plan): void {
+  for (const b of part.bound.values()) if (b.job === job.id) return;
+  if (!job.frozen.isEmpty || !job.moving.isEmpty) return;
+  const indices = [...job.waiting];
+  const room = new Map([...s.room].map(([id, r]) => [id, { ...r }] as const));
+  const used = usedHere(s, job.spec.team);
+  const starts: Start[] = [];
+  for (const index of indices) {
+    const short = !withinShare(job.spec, s, ctx);
+    const machine = short ? null : choose(part, job, pinOf(job, index), s, ctx);
+    if (!machine) {
+      const reason = short ? 'limit' : 'room';
+      for (const [id, r] of room) s.room.set(id, r);
+      s.used.set(job.spec.team, used);
+      plan.unplaced.push({ job, reason, indices: indices.slice(0, UNPLACED_SHOWN) });
+      return;
+    }
+    take(s.room.get(machine.id), job.spec, 1);
+    charge(s, job.spec);
+    starts.push({ job, index, machine });
+  }
+  plan.starts.push(...starts);
+}
+
 /** The machine that holds the image, else the one with most free room. */
 function choose(part: Part, job: PartJob, pin: ZoneId | null, s: Scratch, ctx: PlanContext): Machine | null {
   let best: Machine | null = null;
@@ -253,13 +292,24 @@
   return b.spec.cpus * (b.spec.checkpointS > 0 ? Math.min(run, b.spec.saveS * 1000) : run);
 }
 
+/**
+ * The same order as `rank` decides who is stopped for whom: otherwise a task that was stopped is placed first in
+ * the next round, and both stop each other for good.
+ */
 function mayStop(b: Binding, job: PartJob, guaranteed: boolean, s: Scratch, ctx: PlanContext): boolean {
   if (b.stop || !b.spec || s.stopping.has(b) || b.job === job.id) return false;
-  if (b.spec.priority > job.spec.priority) return true;
-  if (!guaranteed || b.spec.team === job.spec.team || b.spec.priority === Priority.critical) return false;
-  const theirs = ctx.teams.get(b.spec.team);
-  const used = usedHere(s, b.spec.team).cpus + ctx.usedElsewhere(b.spec.team);
-  return theirs !== undefined && used - b.spec.cpus >= theirs.cpus - 1e-6;
+  if (job.spec.priority === Priority.critical) return b.spec.priority !== Priority.critical;
+  if (b.spec.priority === Priority.critical) return false;
+  const higher = job.spec.priority < b.spec.priority;
+  if (!borrowed(b.spec, s, ctx)) return guaranteed && higher;
+  return higher || (guaranteed && b.spec.team !== job.spec.team);
+}
+
+/** Does its team still have its guarantee without this task? */
+function borrowed(spec: JobSpec, s: Scratch, ctx: PlanContext): boolean {
+  const team = ctx.teams.get(spec.team);
+  const used = staying(s, spec.team, ctx);
+  return team === undefined || used - spec.cpus >= team.cpus - 1e-6;
 }
 
 interface Victims {
@@ -316,6 +366,7 @@
   if (!best) return false;
   for (const b of best.list) {
     s.stopping.add(b);
+    leaving(s, b.spec as JobSpec);
     take(s.room.get(best.machine.id), b.spec as JobSpec, -1);
     plan.stops.push({ binding: b, grace: graceFor(b) });
   }
--- a/src/workers/reports.ts
+++ b/src/workers/reports.ts
@@ -100,7 +100,7 @@
 
 function finished(part: Part, task: ReportedTask): void {
   const job = part.jobs.get(task.job);
-  if (!job || job.spec.shape !== 'array' || job.record.done.has(task.index)) return;
+  if (!job || job.spec.shape === 'service' || job.record.done.has(task.index)) return;
   if (!isOurs(part, task.job, task.index) || part.bound.has(taskId(task.job, task.index))) return;
   job.finished.add(task.index);
   job.waiting.remove(task.index);
--- a/src/workers/wire.ts
+++ b/src/workers/wire.ts
@@ -51,7 +51,15 @@
   | { readonly op: 'forget'; readonly job: JobId; readonly index: TaskIndex; readonly attempt: Attempt };
 
 const whole = v.pipe(v.number(), v.integer(), v.minValue(0));
-const STATES = { pulling: 'fetching', running: 'running', saving: 'saving', exited: 'exited' } as const;
+// `gathering`: a gang's task that waits for the others. A state we do not know is taken for running: it holds
+// room, and may be stopped.
+const STATES: Record<string, ReportedTask['state']> = {
+  pulling: 'fetching',
+  gathering: 'running',
+  running: 'running',
+  saving: 'saving',
+  exited: 'exited',
+};
 const CAUSES: Record<string, ExitCause> = {
   done: 'done',
   halted: 'stopped',
@@ -59,6 +67,9 @@
   full: 'no-room',
   busy: 'busy',
   unknown: 'unknown',
+  // A gang's task that gave up because others did not come, or left.
+  peers: 'stopped',
+  alone: 'stopped',
 };
 
 const report = v.object({
@@ -77,7 +88,7 @@
         v.object({
           leg: v.string(),
           sailing: whole,
-          status: v.picklist(['pulling', 'running', 'saving', 'exited']),
+          status: v.string(),
           cause: v.optional(v.nullable(v.string()), null),
         }),
       ),
@@ -94,7 +105,7 @@
   for (const t of r.legs ?? []) {
     const name = splitTaskId(t.leg);
     if (!name) return null;
-    const state = STATES[t.status];
+    const state = STATES[t.status] ?? 'running';
     // A cause we do not know ends the task like an error: it is not running, and not done.
     const cause = state === 'exited' ? (CAUSES[t.cause ?? ''] ?? 'error') : null;
     tasks.push({ ...name, attempt: t.sailing as Attempt, state, cause });
