--- a/src/core.ts
+++ b/src/core.ts
@@ -16,6 +16,7 @@
 import type { Change, Condition } from './state/wire.js';
 import type {
   Clock,
+  ImageId,
   Incarnation,
   JobId,
   MachineId,
@@ -62,6 +63,8 @@
   readonly peers = new Map<NodeId, PeerNews>();
   /** Which part a rented machine is meant for; a hint until the machine is named in the state service. */
   readonly rentedFor = new Map<MachineId, PartId>();
+  /** Which images peers' machines hold, for whoever takes a part over. */
+  readonly imageHints = new Map<MachineId, readonly ImageId[]>();
   /** Specs of jobs that are over, while their tasks may still be on machines. */
   readonly past = new Map<JobId, JobSpec>();
   private readonly mutex = new Mutex();
--- a/src/flock/news.ts
+++ b/src/flock/news.ts
@@ -3,7 +3,17 @@
 import type { Core } from '../core.js';
 import { roomOn, usageOf, type Part } from '../parts/model.js';
 import { usable } from '../placement/plan.js';
-import type { Incarnation, JobId, MachineId, NodeId, PartId, TeamId, TypeId, ZoneId } from '../units.js';
+import type {
+  ImageId,
+  Incarnation,
+  JobId,
+  MachineId,
+  NodeId,
+  PartId,
+  TeamId,
+  TypeId,
+  ZoneId,
+} from '../units.js';
 import { plus } from '../units.js';
 import type { FreeMachine, Offer } from './willing.js';
 
@@ -22,6 +32,7 @@
       machines: v.array(v.tuple([v.string(), v.string(), v.boolean(), v.number(), v.number(), v.number()])),
       used: amounts,
       spare: amounts,
+      images: v.record(v.string(), v.array(v.string())),
     }),
   ),
 });
@@ -120,6 +131,7 @@
       machines: offerOf(core, part).machines.map((m) => [m.type, m.zone, m.spot, m.cpus, m.gpus, m.memoryGb]),
       used: Object.fromEntries(usedByTeam(core, part)),
       spare: Object.fromEntries(spare(part)),
+      images: Object.fromEntries([...part.machines.values()].map((m) => [m.id, [...m.images.keys()]])),
     })),
   };
 }
@@ -142,6 +154,8 @@
     const part = p.part as PartId;
     // Both of us may believe that we own it for a moment: our own knowledge is the better one.
     if (core.parts.has(part)) continue;
+    for (const [m, images] of Object.entries(p.images))
+      core.imageHints.set(m as MachineId, images as ImageId[]);
     core.partNews.set(part, { expires, used: toMap<TeamId>(p.used), spare: toMap<TeamId>(p.spare) });
     const machines = p.machines.map(([type, zone, spot, cpus, gpus, memoryGb]) => ({
       type: type as TypeId,
--- a/src/parts/ownership.ts
+++ b/src/parts/ownership.ts
@@ -306,7 +306,9 @@
       const m = decodeMachine(entry.value);
       if (!m || m.part !== id) continue;
       const name = entry.key.slice(MACHINES.length) as never;
-      part.machines.set(name, newMachine(name, m.address, m.type, m.zone, m.spot, now, false));
+      const machine = newMachine(name, m.address, m.type, m.zone, m.spot, now, false);
+      for (const image of core.imageHints.get(machine.id) ?? []) machine.images.set(image, now);
+      part.machines.set(machine.id, machine);
     }
     core.parts.set(id, part);
     for (const record of core.live.values()) {
--- a/src/placement/plan.ts
+++ b/src/placement/plan.ts
@@ -59,6 +59,7 @@
 const MAX_STARTS = 300;
 const MAX_VICTIM_SEARCHES = 12;
 const UNPLACED_SHOWN = 200;
+const FETCH_WORTH_STOPPING_S = 1;
 /** How long a task waits for a peer with announced room, or for room to come free, before others are stopped. */
 const CRITICAL_PATIENCE = 400;
 const PATIENCE = 1500;
@@ -107,7 +108,7 @@
   readonly key: readonly number[];
 }
 
-/** Critical first, then work within its team's guarantee, then by priority, then the deadlines that can be met. */
+/** Critical first, then work within its team's guarantee, then by priority, then the deadlines that can be met, small jobs first. */
 function rank(job: PartJob, s: Scratch, ctx: PlanContext): Ranked {
   const spec = job.spec;
   const estimate = spec.estimateS * ctx.correction(spec.lane) * 1000;
@@ -118,6 +119,11 @@
     withinGuarantee(spec, s, ctx) ? 0 : 1,
     spec.priority,
     late,
+    // With more work than room, the nearest deadline first makes everybody a little late. Jobs that need little
+    // go first instead, in steps of a factor of two: most jobs are then done in time.
+    due === Infinity || late === 1
+      ? 0
+      : Math.round(Math.log2(1 + (job.waiting.size * spec.cpus * estimate) / 1000)),
     due === Infinity ? Number.MAX_SAFE_INTEGER : due,
     job.firstSeen,
   ];
@@ -218,6 +224,15 @@
     const hold = job.holds.get(index);
     if (hold) take(s.room.get(hold.machine), job.spec, -1);
     const machine = fullPins.has(pin) && !hold ? null : choose(part, job, pin, s, ctx);
+    if (
+      machine &&
+      !hold &&
+      fetchMatters(job, machine, s, ctx) &&
+      preempt(part, job, index, pin, s, ctx, plan, true)
+    ) {
+      noRoom.push(index);
+      continue;
+    }
     if (machine) {
       if (hold) job.holds.delete(index);
       take(s.room.get(machine.id), job.spec, 1);
@@ -236,6 +251,14 @@
   if (noLimit.length > 0) plan.unplaced.push({ job, reason: 'limit', indices: noLimit });
 }
 
+/** Work that should start at once: would it wait for its image there, longer than room is made elsewhere? */
+function fetchMatters(job: PartJob, machine: Machine, s: Scratch, ctx: PlanContext): boolean {
+  if (machine.images.has(job.spec.image)) return false;
+  if (job.spec.priority !== Priority.critical && !withinGuarantee(job.spec, s, ctx)) return false;
+  const rate = ctx.types.get(machine.type)?.fetchGbPerS ?? 1;
+  return job.spec.imageGb / Math.max(rate, 1e-3) > FETCH_WORTH_STOPPING_S;
+}
+
 /** All tasks of a gang start in the same round, or none does. */
 function placeGang(part: Part, job: PartJob, s: Scratch, ctx: PlanContext, plan: Plan): void {
   for (const b of part.bound.values()) if (b.job === job.id) return;
@@ -270,8 +293,11 @@
     if (!m || !fits(room, job.spec) || !allowed(job.spec, m.type, m.zone, m.spot, pin)) continue;
     // A machine on which the job failed is the last choice for it.
     const failed = job.errorMachines.has(id) ? 0 : 1;
+    const holder = m.images.has(job.spec.image);
     const total = ctx.types.get(m.type)?.cpus ?? 1;
-    const key = [failed, m.images.has(job.spec.image) ? 1 : 0, room.cpus + room.cpus / total] as const;
+    // Among holders batch work fills the fullest machine first: idle ones can be returned, and large gaps stay.
+    const pack = holder && job.spec.shape === 'array';
+    const key = [failed, holder ? 1 : 0, pack ? -room.cpus : room.cpus + room.cpus / total] as const;
     if (
       !best ||
       key[0] > bestKey[0] ||
@@ -348,18 +374,20 @@
   s: Scratch,
   ctx: PlanContext,
   plan: Plan,
+  holdersOnly = false,
 ): boolean {
   const critical = job.spec.priority === Priority.critical;
   const guaranteed = withinGuarantee(job.spec, s, ctx);
   const waited = ctx.now - Math.max(job.arrivedAt, job.waitingSince ?? ctx.now);
   const patience = critical ? (ctx.peerHasRoom(job.spec) ? CRITICAL_PATIENCE : 0) : PATIENCE;
-  if (waited < patience || s.searches >= MAX_VICTIM_SEARCHES) return false;
+  if ((!holdersOnly && waited < patience) || s.searches >= MAX_VICTIM_SEARCHES) return false;
   if (!critical && deadlineAt(job) < ctx.now) return false;
   s.searches += 1;
   let best: Victims | null = null;
   for (const [id, room] of s.room) {
     const m = part.machines.get(id);
     if (!m || !allowed(job.spec, m.type, m.zone, m.spot, pin)) continue;
+    if (holdersOnly && !m.images.has(job.spec.image)) continue;
     const found = victimsOn(m, room, job, guaranteed, s, ctx);
     if (found && found.list.length > 0 && (!best || found.cost < best.cost)) best = found;
   }
--- a/src/workers/desk.ts
+++ b/src/workers/desk.ts
@@ -149,6 +149,7 @@
         );
       } else if (known) this.remove(part, known);
     }
+    if (!record) this.core.imageHints.delete(id);
   }
 
   /** The machine is certainly gone, and all that was on it. */
--- a/src/workers/reports.ts
+++ b/src/workers/reports.ts
@@ -60,7 +60,6 @@
     unbind(part, machine, b);
   }
   machine.exited = new Map();
-  machine.images.clear();
 }
 
 /**
