--- a/src/controller.ts
+++ b/src/controller.ts
@@ -4,7 +4,7 @@
 import { Core } from './core.js';
 import { Fleet } from './fleet/fleet.js';
 import { assignJob } from './flock/assign.js';
-import { composeNews, offerOf, receive, zoneOfPart } from './flock/news.js';
+import { composeNews, offerOf, readyImages, receive, zoneOfPart } from './flock/news.js';
 import { seededRandom } from './flock/willing.js';
 import { HttpClient } from './http/client.js';
 import { serve, type Answer, type Handler, type Request } from './http/server.js';
@@ -140,6 +140,7 @@
   private announce(now: number): void {
     const offers = [...this.core.parts.values()].map((p) => offerOf(this.core, p));
     for (const o of offers) this.core.offers.set(o.part, o);
+    for (const p of this.core.parts.values()) this.core.ready.set(p.id, readyImages(this.core, p));
     const summary = JSON.stringify(offers.map((o) => [o.part, o.machines]));
     const due = now - this.lastNews >= this.core.tuning.checkInterval || summary !== this.lastOffer;
     if (!due) return;
@@ -198,6 +199,7 @@
       parts: core.settings.parts,
       zones: core.settings.zones,
       offers: core.offers,
+      ready: core.ready,
       random: core.random,
     });
   }
--- a/src/core.ts
+++ b/src/core.ts
@@ -65,6 +65,8 @@
   readonly rentedFor = new Map<MachineId, PartId>();
   /** Which images peers' machines hold, for whoever takes a part over. */
   readonly imageHints = new Map<MachineId, readonly ImageId[]>();
+  /** By part and image: CPUs that critical work could have at once where the image is. */
+  readonly ready = new Map<PartId, ReadonlyMap<ImageId, number>>();
   /** Specs of jobs that are over, while their tasks may still be on machines. */
   readonly past = new Map<JobId, JobSpec>();
   private readonly mutex = new Mutex();
--- a/src/flock/assign.ts
+++ b/src/flock/assign.ts
@@ -1,7 +1,7 @@
 /** Which part a new job's tasks are entrusted to, and in which zone those of a constrained job must be. */
 import type { Assignment } from '../jobs/record.js';
-import type { JobSpec } from '../jobs/spec.js';
-import type { PartId, SteadyMs, ZoneId } from '../units.js';
+import { Priority, type JobSpec } from '../jobs/spec.js';
+import type { ImageId, PartId, SteadyMs, ZoneId } from '../units.js';
 import { capacityFor, reserve, willingList, type Offer, type Random } from './willing.js';
 
 export interface AssignContext {
@@ -12,6 +12,8 @@
   readonly zones: readonly ZoneId[];
   /** Announced room of every part, our own included. */
   readonly offers: ReadonlyMap<PartId, Offer>;
+  /** By part and image: CPUs that critical work could have at once where the image is. */
+  readonly ready: ReadonlyMap<PartId, ReadonlyMap<ImageId, number>>;
   readonly random: Random;
 }
 
@@ -24,8 +26,26 @@
   return n;
 }
 
+/**
+ * Critical work should start at once: where its image is, home if it is there, else nearest zone first, then most
+ * room. null: nowhere, or not critical.
+ */
+function readyPart(ctx: AssignContext, spec: JobSpec, zone: ZoneId | null, count: number): PartId | null {
+  if (spec.priority !== Priority.critical) return null;
+  const cpus = (p: PartId): number => ctx.ready.get(p)?.get(spec.image) ?? 0;
+  const able = ctx.parts.filter(
+    (p) => (zone === null || p.zone === zone) && cpus(p.part) >= spec.cpus * count,
+  );
+  if (able.some((p) => p.part === ctx.home)) return ctx.home;
+  const far = (z: ZoneId): number => (z === ctx.homeZone ? 0 : 1);
+  able.sort((a, b) => far(a.zone) - far(b.zone) || cpus(b.part) - cpus(a.part));
+  return able[0]?.part ?? null;
+}
+
 /** The part that should place tasks in a zone: ours if it is there, else the one with most room there. */
 function partFor(ctx: AssignContext, spec: JobSpec, zone: ZoneId, count: number): PartId {
+  const ready = readyPart(ctx, spec, zone, count);
+  if (ready !== null) return ready;
   const own = ctx.offers.get(ctx.home);
   if (ctx.homeZone === zone && own && capacityFor(own, spec, zone) >= count) return ctx.home;
   const best = willingList(ctx.offers.values(), zone, spec, zone, ctx.now, ctx.random)[0];
@@ -59,6 +79,8 @@
 
 /** Home first; what exceeds its free room goes to peers that announced some, nearest zone first. */
 function overflow(ctx: AssignContext, spec: JobSpec): Assignment[] {
+  const ready = readyPart(ctx, spec, null, spec.tasks);
+  if (ready !== null) return [{ from: 0, to: spec.tasks, part: ready, zone: null }];
   const own = ctx.offers.get(ctx.home);
   const here = own ? Math.min(spec.tasks, capacityFor(own, spec, null)) : spec.tasks;
   if (own) reserve(own, spec, null, here);
--- a/src/flock/news.ts
+++ b/src/flock/news.ts
@@ -1,6 +1,7 @@
 /** The controllers' messages to each other: what is free, what runs, who asks for a share of a limit. */
 import * as v from 'valibot';
 import type { Core } from '../core.js';
+import { Priority } from '../jobs/spec.js';
 import { roomOn, usageOf, type Part } from '../parts/model.js';
 import { usable } from '../placement/plan.js';
 import type {
@@ -33,6 +34,7 @@
       used: amounts,
       spare: amounts,
       images: v.record(v.string(), v.array(v.string())),
+      ready: amounts,
     }),
   ),
 });
@@ -78,6 +80,20 @@
   };
 }
 
+/** CPUs that critical work could have at once on machines with the image, lesser work making room. */
+export function readyImages(core: Core, part: Part): Map<ImageId, number> {
+  const out = new Map<ImageId, number>();
+  const ctx = { now: core.clock.now(), reportMs: core.reportMs };
+  for (const m of part.machines.values()) {
+    if (m.spot || !usable(m, ctx)) continue;
+    let cpus = roomOn(m, core.types.get(m.type)).cpus;
+    for (const b of m.bindings.values())
+      if (b.spec && b.spec.priority > Priority.critical) cpus += b.spec.cpus;
+    for (const image of m.images.keys()) if (cpus > 0) out.set(image, (out.get(image) ?? 0) + cpus);
+  }
+  return out;
+}
+
 /** Room that our own queue is about to take is not offered. */
 function takeOff(
   machines: FreeMachine[],
@@ -131,6 +147,7 @@
       machines: offerOf(core, part).machines.map((m) => [m.type, m.zone, m.spot, m.cpus, m.gpus, m.memoryGb]),
       used: Object.fromEntries(usedByTeam(core, part)),
       spare: Object.fromEntries(spare(part)),
+      ready: Object.fromEntries(readyImages(core, part)),
       images: Object.fromEntries([...part.machines.values()].map((m) => [m.id, [...m.images.keys()]])),
     })),
   };
@@ -156,6 +173,7 @@
     if (core.parts.has(part)) continue;
     for (const [m, images] of Object.entries(p.images))
       core.imageHints.set(m as MachineId, images as ImageId[]);
+    core.ready.set(part, toMap<ImageId>(p.ready));
     core.partNews.set(part, { expires, used: toMap<TeamId>(p.used), spare: toMap<TeamId>(p.spare) });
     const machines = p.machines.map(([type, zone, spot, cpus, gpus, memoryGb]) => ({
       type: type as TypeId,
--- a/src/flock/overflow.ts
+++ b/src/flock/overflow.ts
@@ -12,7 +12,7 @@
 
 /** Tasks rest this long with a part before they are handed on: a stale offer must not make them wander. */
 const REST = 800;
-const REST_CRITICAL = 250;
+const REST_CRITICAL = 2000;
 
 export interface HandOver {
   readonly job: PartJob;
--- a/src/parts/ownership.ts
+++ b/src/parts/ownership.ts
@@ -241,6 +241,8 @@
 
   /** Most of our machines are silent: whoever hears them should command them. */
   private releaseUnreachable(now: SteadyMs): void {
+    // Without a current view we cannot release anything, and may not own anything any more.
+    if (now - this.core.view.confirmed > this.core.tuning.followBlock + 1500) return;
     for (const part of this.core.parts.values()) {
       if (this.busy.has(part.id) || now - part.claimedAt < 8000) continue;
       const limit = Math.max(3.2 * this.core.reportMs, 4500);
--- a/src/placement/plan.ts
+++ b/src/placement/plan.ts
@@ -218,6 +218,7 @@
     if (noRoom.length + noLimit.length >= UNPLACED_SHOWN || plan.starts.length >= MAX_STARTS) break;
     if (!withinShare(job.spec, s, ctx)) {
       noLimit.push(index);
+      if (job.spec.priority === Priority.critical) makeShare(part, job, noLimit.length, s, ctx, plan);
       continue;
     }
     const pin = pinOf(job, index);
@@ -251,6 +252,23 @@
   if (noLimit.length > 0) plan.unplaced.push({ job, reason: 'limit', indices: noLimit });
 }
 
+/** A team at its limit: its critical tasks get what its own lesser work uses. */
+function makeShare(part: Part, job: PartJob, count: number, s: Scratch, ctx: PlanContext, plan: Plan): void {
+  const { spec } = job;
+  let freed = s.leaving.get(spec.team) ?? 0;
+  const own = [...part.bound.values()].filter(
+    (b) => b.spec?.team === spec.team && b.spec.priority > spec.priority && !b.stop && !s.stopping.has(b),
+  );
+  own.sort((a, b) => lostWork(a, ctx.now) - lostWork(b, ctx.now));
+  for (const b of own) {
+    if (freed >= count * spec.cpus) return;
+    freed += b.spec?.cpus ?? 0;
+    s.stopping.add(b);
+    leaving(s, b.spec as JobSpec);
+    plan.stops.push({ binding: b, grace: graceFor(b) });
+  }
+}
+
 /** Work that should start at once: would it wait for its image there, longer than room is made elsewhere? */
 function fetchMatters(job: PartJob, machine: Machine, s: Scratch, ctx: PlanContext): boolean {
   if (machine.images.has(job.spec.image)) return false;
@@ -379,7 +397,8 @@
   const critical = job.spec.priority === Priority.critical;
   const guaranteed = withinGuarantee(job.spec, s, ctx);
   const waited = ctx.now - Math.max(job.arrivedAt, job.waitingSince ?? ctx.now);
-  const patience = critical ? (ctx.peerHasRoom(job.spec) ? CRITICAL_PATIENCE : 0) : PATIENCE;
+  const mayMove = job.record.home === part.id && ctx.peerHasRoom(job.spec);
+  const patience = critical ? (mayMove ? CRITICAL_PATIENCE : 0) : PATIENCE;
   if ((!holdersOnly && waited < patience) || s.searches >= MAX_VICTIM_SEARCHES) return false;
   if (!critical && deadlineAt(job) < ctx.now) return false;
   s.searches += 1;
