Job-level guarantees; a record that cannot be read stops nobody

Records of earlier versions are read, unreadable ones leave their job alone; two tests. Guarantees now follow the users' words: a job is within its team's guarantee if it fits with the team's earlier unfinished jobs, the same answer on every controller.

--- a/src/controller.ts
+++ b/src/controller.ts
@@ -172,7 +172,8 @@
   private onJob(key: string, value: unknown, version: Revision): void {
     const record = this.core.learnLive(key, value);
     const now = this.core.clock.now();
-    if (!record) return this.scheduler.stopJob(key.slice(LIVE.length) as JobId);
+    if (record === 'unreadable') return;
+    if (record === 'over') return this.scheduler.stopJob(key.slice(LIVE.length) as JobId);
     for (const part of this.core.parts.values()) syncJob(part, record, version, now, false);
   }
 
--- a/src/core.ts
+++ b/src/core.ts
@@ -153,9 +153,14 @@
   }
 
   /** The view's copy of live job records, decoded once per version. */
-  learnLive(key: string, value: unknown): JobRecord | null {
+  learnLive(key: string, value: unknown): JobRecord | 'over' | 'unreadable' {
     const id = key.slice(LIVE.length) as JobId;
     const record = value === undefined ? null : decodeRecord(value);
+    if (!record && value !== undefined) {
+      // Written by a version that we do not understand. The job is not over: whoever runs it goes on.
+      this.log.error({ job: id }, 'job record cannot be read');
+      return 'unreadable';
+    }
     if (record) this.live.set(id, record);
     else {
       const old = this.live.get(id);
@@ -163,6 +168,6 @@
       if (old) this.past.set(id, old.spec);
       if (this.past.size > 500) this.past.delete(this.past.keys().next().value as JobId);
     }
-    return record;
+    return record ?? 'over';
   }
 }
--- a/src/jobs/desk.ts
+++ b/src/jobs/desk.ts
@@ -110,6 +110,7 @@
     const record: JobRecord = {
       spec,
       home: this.core.settings.part,
+      born: this.core.view.revision,
       assignments: this.assign(spec),
       done: RangeSet.empty(),
     };
--- a/src/jobs/record.ts
+++ b/src/jobs/record.ts
@@ -1,6 +1,6 @@
 /** Job records as the state service keeps them, and the keys they stand under. */
 import * as v from 'valibot';
-import type { JobId, PartId, StateKey, ZoneId } from '../units.js';
+import type { JobId, PartId, Revision, StateKey, ZoneId } from '../units.js';
 import { RangeSet, type Range } from '../ranges.js';
 import type { JobSpec } from './spec.js';
 
@@ -15,6 +15,8 @@
 export interface JobRecord {
   readonly spec: JobSpec;
   readonly home: PartId;
+  /** The store's revision known when it was accepted: the order in which jobs came, near enough. */
+  readonly born: Revision;
   readonly assignments: readonly Assignment[];
   readonly done: RangeSet;
 }
@@ -35,6 +37,8 @@
   // Written by ourselves from a checked submission: its presence is what must hold here.
   spec: v.custom<JobSpec>((s) => typeof s === 'object' && s !== null && 'id' in s && 'tasks' in s),
   home: v.number(),
+  // Absent in records of earlier versions.
+  born: v.optional(v.number(), 0),
   parts: v.array(assignment),
   done: v.array(range),
 });
@@ -44,6 +48,7 @@
   return {
     spec: r.spec,
     home: r.home,
+    born: r.born,
     parts: r.assignments.map((a) => [a.from, a.to, a.part, a.zone]),
     done: r.done.ranges(),
   };
@@ -56,6 +61,7 @@
   return {
     spec: r.spec,
     home: r.home as PartId,
+    born: r.born as Revision,
     assignments: r.parts.map(([from, to, part, zone]) => ({
       from,
       to,
--- a/src/placement/plan.ts
+++ b/src/placement/plan.ts
@@ -15,7 +15,7 @@
   type Room,
 } from '../parts/model.js';
 import type { Team } from '../settings/settings.js';
-import type { MachineId, SteadyMs, TeamId, TypeId, ZoneId } from '../units.js';
+import type { JobId, MachineId, SteadyMs, TeamId, TypeId, ZoneId } from '../units.js';
 
 export interface PlanContext {
   readonly now: SteadyMs;
@@ -25,6 +25,8 @@
   readonly share: (team: TeamId) => { cpus: number; gpus: number };
   /** CPUs of the team in use on other parts, by their announcements. */
   readonly usedElsewhere: (team: TeamId) => number;
+  /** Does the job fit into its team's guarantee together with the team's earlier unfinished jobs? */
+  readonly guaranteed: (job: JobId) => boolean;
   /** Has a peer announced room for a task like this? Then it is asked before anybody is stopped. */
   readonly peerHasRoom: (spec: JobSpec) => boolean;
   /** Actual over estimated run time that this lane has shown. */
@@ -109,14 +111,14 @@
 }
 
 /** Critical first, then work within its team's guarantee, then by priority, then the deadlines that can be met, small jobs first. */
-function rank(job: PartJob, s: Scratch, ctx: PlanContext): Ranked {
+function rank(job: PartJob, ctx: PlanContext): Ranked {
   const spec = job.spec;
   const estimate = spec.estimateS * ctx.correction(spec.lane) * 1000;
   const due = deadlineAt(job);
   const late = due < ctx.now + estimate ? 1 : 0;
   const key = [
     spec.priority === Priority.critical ? 0 : 1,
-    withinGuarantee(spec, s, ctx) ? 0 : 1,
+    ctx.guaranteed(job.id) ? 0 : 1,
     spec.priority,
     late,
     // With more work than room, the nearest deadline first makes everybody a little late. Jobs that need little
@@ -144,12 +146,6 @@
 const staying = (s: Scratch, team: TeamId, ctx: PlanContext): number =>
   usedHere(s, team).cpus - (s.leaving.get(team) ?? 0) + ctx.usedElsewhere(team);
 
-function withinGuarantee(spec: JobSpec, s: Scratch, ctx: PlanContext): boolean {
-  const team = ctx.teams.get(spec.team);
-  if (!team) return false;
-  return staying(s, spec.team, ctx) + spec.cpus <= team.cpus + 1e-6;
-}
-
 function withinShare(spec: JobSpec, s: Scratch, ctx: PlanContext): boolean {
   const used = usedHere(s, spec.team);
   const share = ctx.share(spec.team);
@@ -176,7 +172,7 @@
   keepHeldRoom(part, s, ctx);
   const plan: Plan = { starts: [], stops: [], holds: [], unplaced: [] };
   const waiting = [...part.jobs.values()].filter((j) => !j.waiting.isEmpty && ctx.now >= j.notBefore);
-  const ranked = waiting.map((j) => rank(j, s, ctx)).sort(byKey);
+  const ranked = waiting.map((j) => rank(j, ctx)).sort(byKey);
   for (const { job } of ranked) {
     if (job.spec.shape === 'gang') placeGang(part, job, s, ctx, plan);
     else placeJob(part, job, s, ctx, plan);
@@ -228,7 +224,7 @@
     if (
       machine &&
       !hold &&
-      fetchMatters(job, machine, s, ctx) &&
+      fetchMatters(job, machine, ctx) &&
       preempt(part, job, index, pin, s, ctx, plan, true)
     ) {
       noRoom.push(index);
@@ -270,9 +266,9 @@
 }
 
 /** Work that should start at once: would it wait for its image there, longer than room is made elsewhere? */
-function fetchMatters(job: PartJob, machine: Machine, s: Scratch, ctx: PlanContext): boolean {
+function fetchMatters(job: PartJob, machine: Machine, ctx: PlanContext): boolean {
   if (machine.images.has(job.spec.image)) return false;
-  if (job.spec.priority !== Priority.critical && !withinGuarantee(job.spec, s, ctx)) return false;
+  if (job.spec.priority !== Priority.critical && !ctx.guaranteed(job.id)) return false;
   const rate = ctx.types.get(machine.type)?.fetchGbPerS ?? 1;
   return job.spec.imageGb / Math.max(rate, 1e-3) > FETCH_WORTH_STOPPING_S;
 }
@@ -344,9 +340,9 @@
   if (b.stop || !b.spec || s.stopping.has(b) || b.job === job.id) return false;
   if (job.spec.priority === Priority.critical) return b.spec.priority !== Priority.critical;
   if (b.spec.priority === Priority.critical) return false;
+  if (ctx.guaranteed(b.job)) return false;
   const higher = job.spec.priority < b.spec.priority;
-  if (!borrowed(b.spec, s, ctx)) return guaranteed && higher;
-  return higher || (guaranteed && b.spec.team !== job.spec.team);
+  return higher || (guaranteed && b.spec.team !== job.spec.team && borrowed(b.spec, s, ctx));
 }
 
 /** Does its team still have its guarantee without this task? */
@@ -395,7 +391,7 @@
   holdersOnly = false,
 ): boolean {
   const critical = job.spec.priority === Priority.critical;
-  const guaranteed = withinGuarantee(job.spec, s, ctx);
+  const guaranteed = ctx.guaranteed(job.id);
   const waited = ctx.now - Math.max(job.arrivedAt, job.waitingSince ?? ctx.now);
   const mayMove = job.record.home === part.id && ctx.peerHasRoom(job.spec);
   const patience = critical ? (mayMove ? CRITICAL_PATIENCE : 0) : PATIENCE;
--- a/src/placement/scheduler.ts
+++ b/src/placement/scheduler.ts
@@ -5,8 +5,9 @@
 import { capacityFor } from '../flock/willing.js';
 import type { JobSpec } from '../jobs/spec.js';
 import { bind, unbind, type Binding, type Machine, type Part } from '../parts/model.js';
+import { guaranteedJobs } from '../quota/guarantee.js';
 import type { QuotaDesk } from '../quota/desk.js';
-import type { SteadyMs, TaskIndex, TeamId } from '../units.js';
+import type { JobId, SteadyMs, TaskIndex, TeamId } from '../units.js';
 import { millis, plus, taskId } from '../units.js';
 import type { WorkerDesk } from '../workers/desk.js';
 import { graceFor, planRound, type Plan, type PlanContext, type Start } from './plan.js';
@@ -35,16 +36,17 @@
     this.core.clock.after(DEBOUNCE, () => {
       this.armed = false;
       void this.core.exclusive(() => {
-        for (const part of this.core.parts.values()) this.round(part);
+        const guaranteed = guaranteedJobs(this.core.live.values(), this.core.settings.teams);
+        for (const part of this.core.parts.values()) this.round(part, guaranteed);
       });
     });
   }
 
-  private round(part: Part): void {
+  private round(part: Part, guaranteed: ReadonlySet<JobId>): void {
     const now = this.core.clock.now();
     if (!this.core.authority(now)) return;
     this.moveOffNoticed(part);
-    const plan = planRound(part, this.context(now, part));
+    const plan = planRound(part, this.context(now, part, guaranteed));
     this.apply(part, plan, now);
     this.desk.dispatch(part);
     this.overflow.consider(part, plan.unplaced);
@@ -52,7 +54,7 @@
     this.fleet.demand(part, plan.unplaced, now);
   }
 
-  private context(now: SteadyMs, part: Part): PlanContext {
+  private context(now: SteadyMs, part: Part, guaranteed: ReadonlySet<JobId>): PlanContext {
     const { core } = this;
     const others = [...core.settings.parts].filter((p) => p.part !== part.id);
     const elsewhere = new Map<TeamId, number>();
@@ -67,6 +69,7 @@
       teams: core.settings.teams,
       share: (team) => this.quota.share(part.id, team),
       usedElsewhere: (team) => elsewhere.get(team) ?? 0,
+      guaranteed: (job) => guaranteed.has(job),
       peerHasRoom: (spec) => this.peerHasRoom(part, spec, now),
       correction: (lane) => this.runTimes.correction(lane),
       reportMs: core.reportMs,
--- /dev/null
+++ b/test/records.test.ts
@@ -0,0 +1,63 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { decodeRecord, encodeRecord, reassign, withDone } from '../src/jobs/record.js';
+import type { JobSpec } from '../src/jobs/spec.js';
+import { RangeSet } from '../src/ranges.js';
+import type { PartId } from '../src/units.js';
+import { checkTrace } from './standins/trace.js';
+import { World } from './standins/world.js';
+
+const spec = { id: 'req-1', tasks: 100, shape: 'array' } as JobSpec;
+const record = {
+  spec,
+  home: 0 as PartId,
+  born: 3 as never,
+  assignments: [{ from: 0, to: 100, part: 0 as PartId, zone: null }],
+  done: RangeSet.empty(),
+};
+
+test('a record of an earlier version, without the order of arrival, is still read', () => {
+  const { born, ...old } = encodeRecord(record) as Record<string, unknown>;
+  assert.equal(born, 3);
+  assert.equal(decodeRecord(old)?.born, 0);
+  assert.equal(decodeRecord({ ...old, parts: 'none' }), null);
+});
+
+test('a record that cannot be read stops nobody: it may come from a newer version', async () => {
+  const w = new World();
+  w.addWorker('large', 'east');
+  w.addWorker('large', 'west');
+  await w.start();
+  await w.submit(0, 'req-1', { service: true });
+  await w.step(1000);
+  const row = w.state.rows.get('c/live/req-1');
+  assert.ok(row);
+  w.state.apply({
+    when: [],
+    apply: [{ put: 'c/live/req-1', data: { ...(row.data as object), parts: 'new form' } }],
+  });
+  await w.step(3000);
+  assert.equal([...w.workers.values()].flatMap((m) => m.active()).length, 1);
+  checkTrace(w, 'unreadable-record');
+});
+
+test('handing tasks over splits an assignment and joins neighbours again', () => {
+  const moved = reassign(record, RangeSet.of([[10, 20]]), 1 as PartId, (z) => z);
+  assert.deepEqual(
+    moved.assignments.map((a) => [a.from, a.to, a.part]),
+    [
+      [0, 10, 0],
+      [10, 20, 1],
+      [20, 100, 0],
+    ],
+  );
+  const back = reassign(moved, RangeSet.of([[10, 20]]), 0 as PartId, (z) => z);
+  assert.deepEqual(back.assignments, record.assignments);
+});
+
+test('scattered results that do not fit a value wait; the record never outgrows the store', () => {
+  const even = RangeSet.of(Array.from({ length: 50 }, (_, i) => [2 * i, 2 * i + 1] as const));
+  const some = withDone(record, even, 300);
+  assert.ok(some.done.size > 0 && some.done.size < 50);
+  assert.equal(withDone(record, even, 4096).done.size, 50);
+});
