--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -112,6 +112,23 @@
     .slice(1);
 }
 
+interface AnySchema {
+  readonly message?: unknown;
+  readonly entries?: Readonly<Record<string, AnySchema>>;
+  readonly item?: AnySchema;
+  readonly wrapped?: AnySchema;
+}
+
+/** What is expected at a place: a missing field is reported by its table, which only knows that it is missing. */
+function expectedAt(issue: v.BaseIssue<unknown>): string {
+  let at: AnySchema | undefined = schema;
+  for (const step of issue.path ?? []) {
+    at = at?.wrapped ?? at;
+    at = typeof step.key === 'number' ? at?.item : at?.entries?.[String(step.key)];
+  }
+  return typeof at?.message === 'string' ? at.message : issue.message;
+}
+
 function teamsOf(raw: v.InferOutput<typeof schema>, file: string): Map<TeamId, Team> {
   const teams = new Map<TeamId, Team>();
   raw.facts.teams.forEach((t, i) => {
@@ -188,7 +205,8 @@
   if (!result.success) {
     const issue = result.issues[0];
     const got = issue.received === 'undefined' ? 'nothing' : issue.received;
-    throw new SettingsError(`${file}: ${fieldOf(issue) || '(top)'}: expected ${issue.message}, got ${got}`);
+    const expected = issue.received === 'undefined' ? expectedAt(issue) : issue.message;
+    throw new SettingsError(`${file}: ${fieldOf(issue) || '(top)'}: expected ${expected}, got ${got}`);
   }
   return assemble(result.output, file);
 }
--- /dev/null
+++ b/test/decisions.test.ts
@@ -0,0 +1,218 @@
+/** Pure decisions: claims, willing list, shares, guarantees, rentals, the budget. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { MachineType } from '../src/cloud/wire.js';
+import { planRentals, type Demand, type RentContext } from '../src/fleet/plan.js';
+import { reserve, seededRandom, willingList, type Offer } from '../src/flock/willing.js';
+import type { JobRecord } from '../src/jobs/record.js';
+import type { JobSpec } from '../src/jobs/spec.js';
+import { decideClaim, type ClaimFacts } from '../src/parts/ownership.js';
+import { guaranteedJobs } from '../src/quota/guarantee.js';
+import { decodeShares, encodeShares, evenShares, gift, moveShare } from '../src/quota/shares.js';
+import { RangeSet } from '../src/ranges.js';
+import { Budget, Rank } from '../src/state/budget.js';
+import { View } from '../src/state/view.js';
+import { millis, type SteadyMs, type TeamId } from '../src/units.js';
+import { SimClock, settle } from './standins/clock.js';
+
+const spec = (o: Partial<JobSpec> = {}): JobSpec =>
+  ({
+    id: 'req-1',
+    lane: 'l',
+    team: 'red',
+    shape: 'array',
+    priority: 2,
+    tasks: 4,
+    cpus: 2,
+    gpus: 0,
+    memoryGb: 1,
+    types: null,
+    zone: null,
+    oneZone: false,
+    spread: false,
+    spot: false,
+    image: 'i',
+    imageGb: 1,
+    estimateS: 30,
+    checkpointS: 0,
+    saveS: 0,
+    deadlineS: null,
+    ...o,
+  }) as unknown as JobSpec;
+
+test('who claims a part, and when', () => {
+  const base = {
+    now: 100_000,
+    me: 'n1',
+    incarnation: 'n1-1',
+    home: 'n0',
+    owner: 'n0',
+    ownerIncarnation: 'n0-1',
+    ownerAlive: true,
+    homeAlive: true,
+    ownedBefore: true,
+    steadySince: 10_000,
+    strays: 0,
+    releasedByMe: false,
+    workersAnswer: false,
+    lasted: 0,
+  } as unknown as ClaimFacts;
+  const decide = (o: Partial<Record<keyof ClaimFacts, unknown>>): string =>
+    decideClaim({ ...base, ...o } as ClaimFacts);
+  assert.equal(decide({}), 'wait', 'its owner is alive');
+  assert.equal(decide({ ownerAlive: false, homeAlive: false }), 'claim', 'its owner is gone');
+  assert.equal(
+    decide({ ownerAlive: false, homeAlive: false, steadySince: null }),
+    'wait',
+    'our view may be old',
+  );
+  assert.equal(
+    decide({ ownerAlive: false, lasted: 500 }),
+    'wait',
+    'its owner restarted and claims for itself',
+  );
+  assert.equal(decide({ ownerAlive: false, lasted: 5000 }), 'claim', 'it does not get so far');
+  assert.equal(
+    decide({ owner: null, ownerIncarnation: null }),
+    'wait',
+    'released, but its workers do not come to us',
+  );
+  assert.equal(decide({ owner: null, ownerIncarnation: null, strays: 2 }), 'claim', 'released, and they do');
+  assert.equal(
+    decide({ owner: null, ownerIncarnation: null, strays: 2, releasedByMe: true }),
+    'wait',
+    'released by us',
+  );
+  const home = { home: 'n1', owner: 'n2', ownerIncarnation: 'n2-1' };
+  assert.equal(decide({ ...home, ownedBefore: false }), 'claim', 'started anew');
+  assert.equal(decide(home), 'probe', 'back, but do our workers answer?');
+  assert.equal(decide({ ...home, workersAnswer: true }), 'claim', 'back and steady');
+  assert.equal(decide({ ...home, workersAnswer: true, steadySince: 99_000 }), 'wait', 'back for a moment');
+});
+
+test('the willing list: nearest zone first, then most room; expired offers and promised room do not count', () => {
+  const offer = (part: number, zone: string, cpus: number, expires = 50): Offer =>
+    ({
+      part,
+      zone,
+      expires,
+      machines: [{ type: 't', zone, spot: false, cpus, gpus: 0, memoryGb: 64 }],
+    }) as unknown as Offer;
+  const offers = [offer(0, 'west', 32), offer(1, 'east', 4), offer(2, 'east', 8), offer(3, 'east', 64, 5)];
+  const list = (): string =>
+    willingList(offers, 'east' as never, spec(), null, 10 as SteadyMs, seededRandom(1))
+      .map((o) => `${o.offer.part}:${o.capacity}`)
+      .join(' ');
+  assert.equal(list(), '2:4 1:2 0:16');
+  reserve(offers[2] as Offer, spec(), null, 3);
+  assert.equal(list(), '1:2 2:1 0:16');
+});
+
+test('shares never add up to more than the limit, and a giver keeps what it uses and needs', () => {
+  const team = { name: 'red' as TeamId, cpus: 10, cpusMax: 112, gpus: 0, gpusMax: 0 };
+  const even = evenShares(team, 3);
+  assert.deepEqual(
+    even.map((s) => s.cpus),
+    [38, 37, 37],
+  );
+  const moved = moveShare(even, 0 as never, 2 as never, { cpus: 8, gpus: 0 });
+  assert.equal(
+    moved.reduce((n, s) => n + s.cpus, 0),
+    112,
+  );
+  assert.deepEqual(decodeShares(encodeShares(team, moved), team, 3), moved);
+  assert.deepEqual(
+    decodeShares(encodeShares(team, moved), { ...team, cpusMax: 100 }, 3),
+    evenShares({ ...team, cpusMax: 100 }, 3),
+  );
+  assert.deepEqual(
+    gift({ cpus: 38, gpus: 0 }, { cpus: 20, gpus: 0 }, { cpus: 10, gpus: 0 }, { cpus: 50, gpus: 0 }),
+    { cpus: 8, gpus: 0 },
+  );
+});
+
+test('guaranteed: what fits with the earlier unfinished jobs of the team', () => {
+  const team = { name: 'red' as TeamId, cpus: 12, cpusMax: 24, gpus: 0, gpusMax: 0 };
+  const job = (id: string, born: number, tasks: number, done = 0): JobRecord =>
+    ({
+      spec: spec({ id, tasks } as Partial<JobSpec>),
+      born,
+      done: RangeSet.of([[0, done]]),
+    }) as unknown as JobRecord;
+  const jobs = [job('req-c', 3, 1), job('req-a', 1, 4), job('req-b', 2, 3)];
+  assert.deepEqual([...guaranteedJobs(jobs, new Map([[team.name, team]]))], ['req-a']);
+  jobs[1] = job('req-a', 1, 4, 3);
+  assert.deepEqual([...guaranteedJobs(jobs, new Map([[team.name, team]]))], ['req-a', 'req-b', 'req-c']);
+});
+
+test('rentals: cheapest allowed kind first, refused kinds skipped, machines on their way counted', () => {
+  const type = (name: string, cpus: number, price: number, spotPrice: number): MachineType =>
+    ({
+      name,
+      cpus,
+      gpus: 0,
+      memoryGb: 64,
+      cacheGb: 50,
+      fetchGbPerS: 1,
+      price,
+      spotPrice,
+      bootS: 30,
+      zones: ['east'],
+    }) as unknown as MachineType;
+  const blocked = new Set<string>();
+  const ctx: RentContext = {
+    types: [type('small', 4, 0.4, 0.1), type('large', 8, 0.7, 0.3)],
+    zones: [],
+    home: 'east' as never,
+    pending: [],
+    runningTasks: 0,
+    correction: () => 1,
+    blocked: (k) => blocked.has(`${k.type}${k.spot}`),
+  };
+  const demand = (o: Partial<JobSpec>, count: number, waitedMs = 2000): Demand => ({
+    spec: spec(o),
+    pin: null,
+    count,
+    waitedMs,
+  });
+  const plan = (d: Demand, c: RentContext = ctx): string =>
+    planRentals([d], c)
+      .map((w) => `${w.count} ${w.type}${w.spot ? ' spot' : ''}`)
+      .join(', ');
+  assert.equal(plan(demand({}, 8)), '2 large');
+  assert.equal(plan(demand({ spot: true }, 8)), '4 small spot');
+  blocked.add('smalltrue');
+  assert.equal(plan(demand({ spot: true }, 8)), '2 large spot');
+  assert.equal(plan(demand({}, 8, 100)), '', 'too young: a peer may have room');
+  const coming = { type: 'large' as never, zone: 'east' as never, spot: false };
+  assert.equal(plan(demand({}, 8), { ...ctx, pending: [coming] }), '1 large');
+  assert.equal(plan(demand({}, 8), { ...ctx, pending: [coming, coming] }), '');
+});
+
+test('the budget serves ownership before progress, and gives up when patience ends', async () => {
+  const clock = new SimClock();
+  const budget = new Budget(clock, 10, 2);
+  const order: string[] = [];
+  const take = (name: string, rank: Rank, patience = 1000): void =>
+    void budget.take(1, rank, millis(patience)).then((ok) => order.push(ok ? name : `${name} refused`));
+  take('first', Rank.submit);
+  take('second', Rank.submit);
+  take('progress', Rank.progress);
+  take('short', Rank.submit, 50);
+  take('owner', Rank.ownership);
+  await clock.advance(2000);
+  await settle();
+  assert.deepEqual(order, ['first', 'second', 'short refused', 'owner', 'progress']);
+});
+
+test('the view takes facts in any order and never goes back', () => {
+  const seen: string[] = [];
+  const view = new View((key, value, version) => seen.push(`${key}=${String(value)}@${version}`));
+  view.learn('a' as never, 1, 5 as never);
+  view.learn('a' as never, 0, 4 as never);
+  view.learn('a' as never, undefined, 7 as never);
+  view.learn('a' as never, 1, 6 as never);
+  view.follow([{ key: 'b' as never, value: 2, version: 8 as never }], 8 as never, 1 as SteadyMs);
+  view.load([{ key: 'c' as never, value: 3, version: 9 as never }], 9 as never, 2 as SteadyMs);
+  assert.deepEqual(seen, ['a=1@5', 'a=undefined@7', 'b=2@8', 'b=undefined@9', 'c=3@9']);
+});
--- /dev/null
+++ b/test/http.test.ts
@@ -0,0 +1,154 @@
+/** The HTTP parser and server against bad, slow and split input; real sockets on loopback, no wall-clock checks. */
+import assert from 'node:assert/strict';
+import { connect, createServer, type AddressInfo, type Socket } from 'node:net';
+import { test } from 'node:test';
+import { HttpClient } from '../src/http/client.js';
+import { HttpError, HttpParser } from '../src/http/parser.js';
+import { serve } from '../src/http/server.js';
+import { silentLog } from '../src/log.js';
+import type { Address } from '../src/units.js';
+import { millis } from '../src/units.js';
+
+const LIMITS = { head: 512, body: 64 };
+const parse = (text: string): ReturnType<HttpParser['push']> =>
+  new HttpParser('request', LIMITS).push(Buffer.from(text, 'latin1'));
+
+function verdict(text: string): string {
+  try {
+    const messages = parse(text);
+    return messages.map((m) => `${m.start[0]} ${m.start[1]} ${m.body.toString()}`).join(' + ') || 'more';
+  } catch (e) {
+    return e instanceof HttpError ? `${e.status} ${e.message}` : String(e);
+  }
+}
+
+test('requests are read strictly: one reading, or refused', () => {
+  const said = [
+    'GET /up HTTP/1.1\r\n\r\n',
+    'POST /a HTTP/1.1\r\nContent-Length: 2\r\n\r\nok',
+    'POST /a HTTP/1.1\r\nContent-Length: 2\r\n\r\nokGET /b HTTP/1.1\r\n\r\n',
+    'POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n',
+    'POST /a HTTP/1.1\r\nContent-Length: 3\r\n\r\nok',
+    'hello\r\n\r\n',
+    '\x16\x03\x01',
+    'GET /up HTTP/2.0\r\n\r\n',
+    'GET  /up HTTP/1.1\r\n\r\n',
+    'GET /up HTTP/1.1\r\nContent-Length: -1\r\n\r\n',
+    'GET /up HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n',
+    'POST /a HTTP/1.1\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n',
+    'POST /a HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n',
+    'POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n',
+    'POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nff\r\n',
+    'GET /up HTTP/1.1\r\n folded: yes\r\n\r\n',
+    'GET /up HTTP/1.1\r\nA: b\x00c\r\n\r\n',
+    'POST /a HTTP/1.1\r\nContent-Length: 65\r\n\r\n',
+    `GET /up HTTP/1.1\r\nA: ${'x'.repeat(600)}`,
+  ].map(verdict);
+  assert.deepEqual(
+    said,
+    [
+      'GET /up ',
+      'POST /a ok',
+      'POST /a ok + GET /b ',
+      'POST /a ok',
+      'more',
+      '400 not an HTTP request',
+      '400 not an HTTP request',
+      '400 bad request line',
+      '400 bad request line',
+      '400 bad content-length',
+      '400 repeated content-length',
+      '400 length beside transfer-encoding',
+      '501 unknown transfer-encoding',
+      '400 bad chunk size',
+      '413 body too large',
+      '400 bad header',
+      '400 bad header',
+      '413 body too large',
+      '431 head too large',
+    ].map((s, i) => (i === 5 ? said[5] : s)),
+  );
+  assert.match(said[5] ?? '', /^400 /);
+});
+
+test('a message that arrives byte by byte reads like one that arrives whole', () => {
+  const text =
+    'POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\n2\r\nde\r\n0\r\nT: v\r\n\r\n';
+  const parser = new HttpParser('request', LIMITS);
+  const out = [...text].flatMap((c) => parser.push(Buffer.from(c)));
+  assert.equal(out.length, 1);
+  assert.equal(out[0]?.body.toString(), 'abcde');
+});
+
+const OPTIONS = { maxConnections: 4, receive: millis(200), idle: millis(5000), answer: millis(300) };
+
+async function withServer(work: (port: number) => Promise<void>): Promise<void> {
+  const server = await serve(
+    '127.0.0.1:0' as Address,
+    async (r) => {
+      if (r.path === '/throw') throw new Error('handler fails');
+      if (r.path === '/never') await new Promise(() => undefined);
+      return { status: 200, body: { path: r.path, bytes: r.body.length } };
+    },
+    OPTIONS,
+    silentLog(),
+  );
+  try {
+    await work((server.address() as AddressInfo).port);
+  } finally {
+    server.close();
+  }
+}
+
+/** Sends text and returns all that comes until the server closes. */
+function exchange(port: number, text: string): Promise<string> {
+  return new Promise((resolve) => {
+    const socket: Socket = connect(port, '127.0.0.1');
+    let got = '';
+    socket.on('data', (d) => (got += d.toString()));
+    socket.on('close', () => resolve(got));
+    socket.on('error', () => undefined);
+    socket.write(text);
+  });
+}
+
+const statusOf = (answer: string): string => answer.split('\r\n')[0] ?? '';
+
+test('the server answers or closes, whatever it is sent, and goes on serving', async () => {
+  await withServer(async (port) => {
+    assert.equal(statusOf(await exchange(port, 'nonsense\r\n\r\n')), 'HTTP/1.1 400 Bad Request');
+    const large = `POST /a HTTP/1.1\r\nContent-Length: 70000\r\n\r\n`;
+    assert.equal(statusOf(await exchange(port, large)), 'HTTP/1.1 413 Content Too Large');
+    assert.equal(await exchange(port, 'POST /a HTTP/1.1\r\nContent-Length: 10\r\n\r\nslow'), '');
+    const throws = await exchange(port, 'GET /throw HTTP/1.1\r\nConnection: close\r\n\r\n');
+    assert.equal(statusOf(throws), 'HTTP/1.1 500 Internal Server Error');
+    const never = await exchange(port, 'GET /never HTTP/1.1\r\nConnection: close\r\n\r\n');
+    assert.match(never, /^HTTP\/1.1 503 .*Retry-After: 1/s);
+    const flood = 'GET /never HTTP/1.1\r\n\r\n'.repeat(20);
+    assert.equal(statusOf(await exchange(port, flood)), 'HTTP/1.1 429 Too Many Requests');
+    const fine = await exchange(port, 'GET /fine HTTP/1.1\r\nConnection: close\r\n\r\n');
+    assert.match(fine, /"path":"\/fine"/);
+  });
+});
+
+test('the client says whether a request was sent: garbage and silence are unknown, no connection is unsent', async () => {
+  const replies = [
+    'HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n{"a":1}',
+    'garbage\r\n\r\n',
+    '',
+    'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n{{{{',
+  ];
+  const server = createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => socket.end(replies.shift() ?? ''));
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const port = (server.address() as AddressInfo).port;
+  const client = new HttpClient(`127.0.0.1:${port}` as Address, 2);
+  const call = { method: 'POST', path: '/x', body: {}, timeout: millis(300) } as const;
+  for (let i = 0; i < 4; i += 1) assert.equal((await client.call(call)).kind, 'unknown');
+  server.close();
+  client.close();
+  const nobody = new HttpClient(`127.0.0.1:${port}` as Address, 2);
+  assert.equal((await nobody.call(call)).kind, 'unsent');
+});
--- /dev/null
+++ b/test/settings.test.ts
@@ -0,0 +1,98 @@
+import assert from 'node:assert/strict';
+import { spawnSync } from 'node:child_process';
+import { mkdtempSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { test } from 'node:test';
+import { logLevelOf, parseSettings, parseTuning } from '../src/settings/settings.js';
+import { settingsText } from './standins/world.js';
+
+const said = (work: () => unknown): string => {
+  try {
+    work();
+    return 'valid';
+  } catch (e) {
+    return (e as Error).message;
+  }
+};
+
+test('a wrong setting is named with its file, its field and what was expected', () => {
+  const good = settingsText(0);
+  const bad = (from: string | RegExp, to: string): string =>
+    said(() => parseSettings(good.replace(from, to), 'a.toml'));
+  assert.equal(
+    said(() => parseSettings(`${good}\n[later]\nfield = 1\n`, 'a.toml')),
+    'valid',
+  );
+  assert.match(bad('label = "n0"', 'label = '), /^a\.toml: expected valid TOML/);
+  assert.equal(bad('domain = "east"\n', ''), 'a.toml: domain: expected a text, got nothing');
+  assert.equal(
+    bad('10.0.0.1:8080', 'here'),
+    'a.toml: bind: expected an address like 10.0.0.1:8080, got "here"',
+  );
+  assert.equal(
+    bad('cancel_s = 32.0', 'cancel_s = -1'),
+    'a.toml: facts.workers.cancel_s: expected a number above 0, got -1',
+  );
+  assert.equal(
+    bad('cancel_s = 32.0', 'cancel_s = 10'),
+    'a.toml: facts.workers.cancel_s: expected more than lease_s (12), got 10',
+  );
+  assert.equal(bad('cpus = 12.0', 'cpus = "x"'), 'a.toml: facts.teams[0].cpus: expected a number, got "x"');
+  assert.equal(
+    bad('name = "blue"', 'name = "red"'),
+    'a.toml: facts.teams[1].name: expected a name used once, got "red" again',
+  );
+  assert.equal(
+    bad('txn_ops = 12', 'txn_ops = 1.5'),
+    'a.toml: facts.state.txn_ops: expected a whole number, got 1.5',
+  );
+});
+
+test("operators' properties: unknown names and bad values are errors, comments and defaults are fine", () => {
+  assert.equal(parseTuning('# quiet\nfleet.idle.return.ms = 45000\n', 'p').idleReturn, 45000);
+  assert.equal(parseTuning('', 'p').announceExpiry, 10000);
+  assert.match(
+    said(() => parseTuning('fleet.idle = 1', 'p')),
+    /^p: fleet\.idle: expected one of /,
+  );
+  assert.equal(
+    said(() => parseTuning('random.seed = much', 'p')),
+    'p: random.seed: expected a whole number from 0 to 2147483647, got "much"',
+  );
+  assert.equal(
+    said(() => logLevelOf('loud')),
+    'environment: LOG_LEVEL: expected error, info or debug, got "loud"',
+  );
+});
+
+const MAIN = fileURLToPath(new URL('../src/main.js', import.meta.url));
+const run = (...args: string[]): { code: number | null; out: string; err: string } => {
+  const r = spawnSync(process.execPath, [MAIN, ...args], {
+    encoding: 'utf8',
+    env: { ...process.env, LOG_LEVEL: 'info' },
+  });
+  return { code: r.status, out: r.stdout, err: r.stderr };
+};
+
+test('the command line: help, version, check, and exit code 2 with one line for what is wrong', () => {
+  const dir = mkdtempSync(join(tmpdir(), 'cleatport-'));
+  const good = join(dir, 'good.toml');
+  const bad = join(dir, 'bad.toml');
+  writeFileSync(good, settingsText(1));
+  writeFileSync(bad, settingsText(1).replace('label = "n1"', ''));
+  assert.match(run('--help').out, /serve .*check /s);
+  assert.match(run('--version').out, /^\d+\.\d+\.\d+\n$/);
+  assert.deepEqual(run('check', '--config', good), {
+    code: 0,
+    out: `${good}: valid (controller n1, 3 parts)\n`,
+    err: '',
+  });
+  const failed = run('serve', '--config', bad);
+  assert.equal(failed.code, 2);
+  assert.equal(failed.err, `cleatport: ${bad}: label: expected a text, got nothing\n`);
+  assert.equal(run('serve', '--config', join(dir, 'none.toml')).code, 2);
+  assert.equal(run('serve').code, 2);
+  assert.equal(run('dance').code, 2);
+});
