--- a/src/placement/plan.ts
+++ b/src/placement/plan.ts
@@ -116,8 +116,6 @@
   const estimate = spec.estimateS * ctx.correction(spec.lane) * 1000;
   const due = deadlineAt(job);
   const late = due < ctx.now + estimate ? 1 : 0;
-  // Of the whole job, wherever its tasks are: every part then prefers the same jobs, and ends them.
-  const open = spec.tasks - job.record.done.size - job.finished.size;
   const key = [
     spec.priority === Priority.critical ? 0 : 1,
     ctx.guaranteed(job.id) ? 0 : 1,
@@ -125,7 +123,9 @@
     late,
     // With more work than room, the nearest deadline first makes everybody a little late. Jobs that need little
     // go first instead, in steps of a factor of two: most jobs are then done in time.
-    due === Infinity || late === 1 ? 0 : Math.round(Math.log2(1 + (open * spec.cpus * estimate) / 1000)),
+    due === Infinity || late === 1
+      ? 0
+      : Math.round(Math.log2(1 + (job.waiting.size * spec.cpus * estimate) / 1000)),
     due === Infinity ? Number.MAX_SAFE_INTEGER : due,
     job.firstSeen,
   ];
