--- /dev/null
+++ b/test/reports.test.ts
@@ -0,0 +1,195 @@
+/** What a worker's messages end, and what they must not end: small traces of one part and one machine. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { MachineType } from '../src/cloud/wire.js';
+import type { JobRecord } from '../src/jobs/record.js';
+import type { JobSpec } from '../src/jobs/spec.js';
+import { silentLog } from '../src/log.js';
+import { bind, newMachine, Part, syncJob, usageOf, type Binding, type Machine } from '../src/parts/model.js';
+import { accountFor } from '../src/parts/ownership.js';
+import { allowed } from '../src/placement/plan.js';
+import { RangeSet } from '../src/ranges.js';
+import { ordersInAnswer } from '../src/workers/orders.js';
+import { applyReport } from '../src/workers/reports.js';
+import type { Report, ReportedTask } from '../src/workers/wire.js';
+
+const spec = {
+  id: 'req-1',
+  team: 'red',
+  shape: 'array',
+  priority: 2,
+  tasks: 2,
+  cpus: 2,
+  gpus: 0,
+  memoryGb: 1,
+  image: 'i',
+} as unknown as JobSpec;
+const record = {
+  spec,
+  home: 0,
+  born: 1,
+  assignments: [{ from: 0, to: 2, part: 0, zone: null }],
+  done: RangeSet.empty(),
+} as unknown as JobRecord;
+
+class Bench {
+  readonly part = new Part(0 as never, 7 as never, 1 as never, 0 as never);
+  readonly machine: Machine;
+  private sequence = 0;
+
+  constructor(atClaim = false) {
+    this.machine = newMachine(
+      'm-0' as never,
+      '10.0.0.9:1' as never,
+      't' as never,
+      'east' as never,
+      false,
+      0 as never,
+      !atClaim,
+    );
+    this.part.machines.set(this.machine.id, this.machine);
+    syncJob(this.part, record, 2 as never, 0 as never, atClaim);
+    if (!atClaim) accountFor(this.part);
+    // Tasks are only started on machines that have been heard.
+    if (!atClaim) this.hear('report', '');
+  }
+
+  start(o: Partial<Binding> = {}): Binding {
+    const b = {
+      id: 'req-1/0',
+      job: 'req-1',
+      index: 0,
+      attempt: 5,
+      machine: 'm-0',
+      spec,
+      phase: 'ordered',
+      boundAt: 0,
+      runningSince: null,
+      stop: null,
+      inFlight: false,
+      due: false,
+      doubt: null,
+      answered: null,
+      ...o,
+    } as unknown as Binding;
+    bind(this.part, this.machine, b);
+    return b;
+  }
+
+  /** Tasks as `index:attempt:state[:cause]`. */
+  hear(channel: 'report' | 'direct', tasks: string, o: Partial<Record<keyof Report, number>> = {}): string {
+    this.sequence += 1;
+    const legs = tasks
+      .split(' ')
+      .filter(Boolean)
+      .map((t) => {
+        const [index, attempt, state, cause] = t.split(':');
+        return {
+          job: 'req-1',
+          index: Number(index),
+          attempt: Number(attempt),
+          state,
+          cause: cause ?? null,
+        } as unknown as ReportedTask;
+      });
+    const report = {
+      machine: 'm-0',
+      address: '10.0.0.9:1',
+      type: 't',
+      zone: 'east',
+      spot: false,
+      session: 1,
+      sequence: this.sequence,
+      token: 7,
+      noticeS: null,
+      tasks: legs,
+      ...o,
+    } as unknown as Report;
+    const ctx = { now: 1000 as never, pastSpec: () => null, onDone: () => undefined, log: silentLog() };
+    const taken = applyReport(this.part, this.machine, report, channel, ctx);
+    return `${taken ? 'taken' : 'older'}; ${this.state()}`;
+  }
+
+  state(): string {
+    const job = this.part.jobs.get('req-1' as never);
+    const bound = [...this.part.bound.values()].map((b) => `${b.index}@${b.attempt}`).join(',');
+    return `bound ${bound || '-'} waiting ${[...(job?.waiting ?? [])].join(',') || '-'}`;
+  }
+
+  orders(): string {
+    return ordersInAnswer(this.part, this.machine)
+      .map((o) => `${o.op} ${o.index}@${o.attempt}`)
+      .join(', ');
+  }
+}
+
+test('a report that was held back is older than what is known, and changes nothing', () => {
+  const w = new Bench();
+  w.start();
+  assert.equal(w.hear('report', '0:5:running', { sequence: 9 }), 'taken; bound 0@5 waiting 1');
+  assert.equal(w.hear('report', '', { sequence: 8 }), 'older; bound 0@5 waiting 1');
+  assert.equal(w.hear('report', '', { session: 2, sequence: 1 }), 'taken; bound - waiting 0,1');
+  assert.equal(w.hear('report', '0:5:running', { session: 1, sequence: 99 }), 'older; bound - waiting 0,1');
+});
+
+test('a launch in an answer is settled by the next report, not by a direct message in between', () => {
+  const w = new Bench();
+  w.start();
+  assert.equal(w.orders(), 'start 0@5');
+  assert.equal(w.hear('direct', ''), 'taken; bound 0@5 waiting 1');
+  assert.equal(w.hear('report', ''), 'taken; bound - waiting 0,1');
+});
+
+test('a direct launch in doubt stays bound, and its exit is not cleared, until a higher token is seen', () => {
+  const doubt = { token: 7, session: 1, since: 0 } as unknown as Binding['doubt'];
+  const w = new Bench();
+  w.start({ doubt });
+  assert.equal(w.hear('report', ''), 'taken; bound 0@5 waiting 1');
+  assert.equal(w.hear('report', '0:5:exited:stopped'), 'taken; bound - waiting 0,1');
+  assert.equal(w.orders(), '', 'a clear now, and the late launch would start it anew');
+  assert.equal(w.hear('report', '0:5:exited:stopped', { token: 8 }), 'taken; bound - waiting 0,1');
+  assert.equal(w.orders(), 'forget 0@5');
+});
+
+test('after a claim a task is frozen until every machine has reported under the new token', () => {
+  const w = new Bench(true);
+  const types = new Map([['t', { cpus: 16, gpus: 0 } as MachineType]]) as never;
+  assert.equal(w.state(), 'bound - waiting -');
+  assert.equal(usageOf(w.part, types).cpusAnybody, 16, 'a machine not heard from may be full of any team');
+  assert.equal(w.hear('report', '', { token: 6 }), 'taken; bound - waiting -');
+  assert.equal(accountFor(w.part), false, 'the owner before us may still command it');
+  assert.equal(w.hear('direct', '1:4:running'), 'taken; bound 1@4 waiting -');
+  assert.equal(accountFor(w.part), true);
+  assert.equal(w.state(), 'bound 1@4 waiting 0');
+  assert.equal(usageOf(w.part, types).cpusAnybody, 0);
+});
+
+test('a task that is not ours to run is stopped, and counts until it is gone', () => {
+  const w = new Bench();
+  w.start();
+  assert.equal(w.hear('report', '0:5:running 1:3:running'), 'taken; bound 0@5,1@3 waiting -');
+  const x = new Bench();
+  x.part.jobs.delete('req-1' as never);
+  assert.equal(x.hear('report', '0:3:running'), 'taken; bound 0@3 waiting -');
+  assert.equal(x.orders(), 'stop 0@3');
+  assert.equal(x.hear('report', '0:3:exited:stopped'), 'taken; bound - waiting -');
+  assert.equal(x.orders(), 'forget 0@3');
+});
+
+test('where a task may start: kind, type, zone and pin each decide', () => {
+  const may = (o: Partial<JobSpec>, type: string, zone: string, spot: boolean, pin: string | null): boolean =>
+    allowed(
+      { ...spec, types: null, zone: null, spot: false, ...o },
+      type as never,
+      zone as never,
+      spot,
+      pin as never,
+    );
+  assert.equal(may({}, 't', 'east', false, null), true);
+  assert.equal(may({}, 't', 'east', true, null), false);
+  assert.equal(may({ spot: true }, 't', 'east', true, null), true);
+  assert.equal(may({ types: ['u'] as never }, 't', 'east', false, null), false);
+  assert.equal(may({ zone: 'west' as never }, 't', 'east', false, null), false);
+  assert.equal(may({}, 't', 'east', false, 'west'), false);
+  assert.equal(may({}, 't', 'east', false, 'east'), true);
+});
