A zone that is silent as a whole is cut off, not taken; returned machines are never named again

Now: silence counts against a spot machine only while others of its zone are heard; names that were dropped are not adopted; machines rented in another zone belong to a part there.

--- a/src/core.ts
+++ b/src/core.ts
@@ -67,6 +67,8 @@
   readonly imageHints = new Map<MachineId, readonly ImageId[]>();
   /** By part and image: CPUs that critical work could have at once where the image is. */
   readonly ready = new Map<PartId, ReadonlyMap<ImageId, number>>();
+  /** Machines that were returned or lost for good. Names are never used again. */
+  readonly gone = new Set<MachineId>();
   /** Specs of jobs that are over, while their tasks may still be on machines. */
   readonly past = new Map<JobId, JobSpec>();
   private readonly mutex = new Mutex();
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -109,7 +109,8 @@
             zone: request.zone,
             spot: request.spot,
           });
-          core.rentedFor.set(id, part);
+          // In another zone it belongs to a part there: a cut between zones then parts nobody from his machines.
+          if (request.zone === zoneOfPart(core, part)) core.rentedFor.set(id, part);
         }
         if (result.machines.length < request.count) this.block(request, now + REFUSED_BACKOFF);
         core.log.info({ ...request, got: result.machines.length }, 'rented');
@@ -158,10 +159,16 @@
     return 'idle';
   }
 
+  /** When all of a zone is silent, it is the network: its machines, and their work, are probably well. */
   private othersHeard(part: Part, m: Machine, now: SteadyMs): boolean {
-    if (part.machines.size === 1) return true;
     for (const o of part.machines.values()) {
-      if (o !== m && o.lastHeard !== null && now - o.lastHeard < 1.5 * this.core.reportMs) return true;
+      if (
+        o !== m &&
+        o.zone === m.zone &&
+        o.lastHeard !== null &&
+        now - o.lastHeard < 1.5 * this.core.reportMs
+      )
+        return true;
     }
     return false;
   }
--- a/src/workers/desk.ts
+++ b/src/workers/desk.ts
@@ -18,6 +18,7 @@
 
 const DIRECT_TIMEOUT = millis(2000);
 const DOUBT_PATIENCE = 3000;
+const GONE_KEPT = 5000;
 const REFUSE: Answer = { status: 503, body: { error: 'not entitled now' }, retryAfterS: 1 };
 
 /** A way to one worker's own address. */
@@ -106,7 +107,8 @@
   /** A machine that nobody has named: named for a part by one conditional write, whoever of us is first. */
   private async adopt(report: Report): Promise<PartId | null> {
     const { core } = this;
-    if (this.adopting.has(report.machine)) return null;
+    // A report that a cut held back, from a machine that has been returned since: nobody is there any more.
+    if (this.adopting.has(report.machine) || core.gone.has(report.machine)) return null;
     this.adopting.add(report.machine);
     try {
       const part = core.rentedFor.get(report.machine) ?? choosePart(core, report);
@@ -149,7 +151,11 @@
         );
       } else if (known) this.remove(part, known);
     }
-    if (!record) this.core.imageHints.delete(id);
+    if (record) return;
+    this.core.imageHints.delete(id);
+    this.core.gone.add(id);
+    if (this.core.gone.size > GONE_KEPT)
+      this.core.gone.delete(this.core.gone.keys().next().value as MachineId);
   }
 
   /** The machine is certainly gone, and all that was on it. */
--- a/test/scenarios.test.ts
+++ b/test/scenarios.test.ts
@@ -276,3 +276,27 @@
   await w.ask(2, 'GET', '/v2/runs/req-1');
   checkTrace(w, 'workers-side-cut');
 });
+
+test('a zone that is silent as a whole is cut off, not taken; a returned machine is not named again', async () => {
+  const w = new World();
+  w.addWorker('large', 'east');
+  w.addWorker('large', 'west');
+  w.addWorker('large', 'east');
+  const spot = [w.addWorker('large', 'west', true), w.addWorker('large', 'west', true)];
+  await w.start();
+  await w.submit(1, 'req-1', { tasks: 8, spot: true, runMs: 30000 });
+  await w.step(1000);
+  for (const n of [0, 1, 2]) for (const m of ['m-1', ...spot]) w.cuts.add(`n${n}|${m}`);
+  await w.step(8000);
+  w.cuts.clear();
+  await w.step(4000);
+  assert.equal(count(w, 'is returned'), 0);
+  const held = { ...(await w.lastReport(spot[0] as string)) };
+  w.workers.get(spot[0] as string)?.destroy();
+  await w.step(12000);
+  assert.equal(count(w, `${spot[0]} is returned`), 1);
+  await w.request(1, 'POST', '/agent/beat', held);
+  await w.step(1000);
+  assert.equal(w.state.rows.has(`c/machines/${spot[0]}`), false);
+  checkTrace(w, 'silent-zone');
+});
--- a/test/standins/world.ts
+++ b/test/standins/world.ts
@@ -290,6 +290,12 @@
     return { ...answer, body: JSON.parse(JSON.stringify(answer.body)) as unknown };
   }
 
+  /** What a worker would report now, as a cut may hold it back. */
+  lastReport(id: string): Promise<object> {
+    const answer = this.workers.get(id)?.arrive({ method: 'GET', path: '/status', timeout: 1000 as never });
+    return Promise.resolve(answer?.kind === 'answer' ? (answer.body as object) : {});
+  }
+
   /** A user's request; resolves when it is answered, the clock moving on meanwhile. */
   async ask(
     n: number,
