--- a/src/placement/scheduler.ts
+++ b/src/placement/scheduler.ts
@@ -7,7 +7,7 @@
 import { bind, unbind, type Binding, type Machine, type Part } from '../parts/model.js';
 import { guaranteedJobs } from '../quota/guarantee.js';
 import type { QuotaDesk } from '../quota/desk.js';
-import type { JobId, SteadyMs, TaskIndex, TeamId } from '../units.js';
+import type { Attempt, JobId, SteadyMs, TaskIndex, TeamId } from '../units.js';
 import { millis, plus, taskId } from '../units.js';
 import type { WorkerDesk } from '../workers/desk.js';
 import { graceFor, planRound, type Plan, type PlanContext, type Start } from './plan.js';
@@ -84,7 +84,13 @@
   }
 
   private apply(part: Part, plan: Plan, now: SteadyMs): void {
-    for (const s of plan.starts) this.start(part, s, now);
+    // A gang's tasks find each other by their attempt: all of one start share it.
+    const gangs = new Map<JobId, Attempt>();
+    for (const s of plan.starts) {
+      const shared = gangs.get(s.job.id) ?? part.nextAttempt();
+      if (s.job.spec.shape === 'gang') gangs.set(s.job.id, shared);
+      this.start(part, s, shared, now);
+    }
     for (const s of plan.stops) this.stop(part, s.binding, s.grace);
     for (const h of plan.holds) h.job.holds.set(h.index, { machine: h.machine, until: plus(now, HOLD) });
     const short = new Set(plan.unplaced.map((u) => u.job));
@@ -94,13 +100,13 @@
     }
   }
 
-  private start(part: Part, s: Start, now: SteadyMs): void {
+  private start(part: Part, s: Start, attempt: Attempt, now: SteadyMs): void {
     const index = s.index as TaskIndex;
     const binding: Binding = {
       id: taskId(s.job.id, index),
       job: s.job.id,
       index,
-      attempt: part.nextAttempt(),
+      attempt,
       machine: s.machine.id,
       spec: s.job.spec,
       phase: 'ordered',
--- a/test/scenarios.test.ts
+++ b/test/scenarios.test.ts
@@ -300,3 +300,20 @@
   assert.equal(w.state.rows.has(`c/machines/${spot[0]}`), false);
   checkTrace(w, 'silent-zone');
 });
+
+test('a gang starts all at once with one attempt, or waits', async () => {
+  const w = await threeMachines();
+  await w.submit(0, 'req-1', { tasks: 8, cpus: 2, runMs: 6000, team: 'blue' });
+  await w.submit(0, 'req-2', { tasks: 3, cpus: 2, runMs: 3000, gang: true });
+  await w.step(2000);
+  const gang = (): string[] =>
+    [...w.workers.values()].flatMap((m) =>
+      [...m.tasks.values()].filter((t) => t.leg.startsWith('req-2/')).map((t) => String(t.sailing)),
+    );
+  assert.ok(gang().length === 0 || gang().length === 3);
+  await w.step(7000);
+  assert.equal(new Set(gang()).size <= 1, true, 'its tasks share an attempt');
+  await w.step(6000);
+  await w.ask(0, 'GET', '/v2/runs/req-2');
+  checkTrace(w, 'gang');
+});
--- a/test/standins/world.ts
+++ b/test/standins/world.ts
@@ -75,6 +75,7 @@
   readonly cpus?: number;
   readonly runMs?: number;
   readonly service?: boolean;
+  readonly gang?: boolean;
   readonly rank?: string;
   readonly spread?: boolean;
   readonly spot?: boolean;
@@ -347,7 +348,7 @@
       uid: id,
       lane: o.service ? 'serve' : 'work',
       crew: o.team ?? 'red',
-      shape: o.service ? 'standing' : 'batch',
+      shape: o.service ? 'standing' : o.gang ? 'gang' : 'batch',
       rank: o.rank ?? (o.service ? 'critical' : 'standard'),
       legs: tasks,
       vcpus: o.cpus ?? 2,
