--- a/test/decisions.test.ts
+++ b/test/decisions.test.ts
@@ -14,31 +14,9 @@
 import { View } from '../src/state/view.js';
 import { millis, type SteadyMs, type TeamId } from '../src/units.js';
 import { SimClock, settle } from './standins/clock.js';
+import { plainSpec } from './standins/spec.js';
 
-const spec = (o: Partial<JobSpec> = {}): JobSpec =>
-  ({
-    id: 'req-1',
-    lane: 'l',
-    team: 'red',
-    shape: 'array',
-    priority: 2,
-    tasks: 4,
-    cpus: 2,
-    gpus: 0,
-    memoryGb: 1,
-    types: null,
-    zone: null,
-    oneZone: false,
-    spread: false,
-    spot: false,
-    image: 'i',
-    imageGb: 1,
-    estimateS: 30,
-    checkpointS: 0,
-    saveS: 0,
-    deadlineS: null,
-    ...o,
-  }) as unknown as JobSpec;
+const spec = (o: Partial<JobSpec> = {}): JobSpec => plainSpec({ tasks: 4, ...o });
 
 test('who claims a part, and when', () => {
   const base = {
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -9,6 +9,7 @@
 import { guaranteedJobs } from '../src/quota/guarantee.js';
 import { RangeSet } from '../src/ranges.js';
 import type { TeamId } from '../src/units.js';
+import { plainSpec } from './standins/spec.js';
 
 const TEAMS = new Map(
   ['red', 'blue'].map((name) => [
@@ -42,29 +43,7 @@
   }
 
   job(id: string, o: Partial<Record<keyof JobSpec, unknown>>): void {
-    const spec = {
-      id,
-      lane: 'l',
-      team: 'red',
-      shape: 'array',
-      priority: 2,
-      tasks: 1,
-      cpus: 2,
-      gpus: 0,
-      memoryGb: 1,
-      types: null,
-      zone: null,
-      oneZone: false,
-      spread: false,
-      spot: false,
-      image: 'i',
-      imageGb: 1,
-      estimateS: 30,
-      checkpointS: 0,
-      saveS: 0,
-      deadlineS: null,
-      ...o,
-    } as unknown as JobSpec;
+    const spec = plainSpec({ id, ...o });
     const record = {
       spec,
       home: 0,
