Jobs: the check of impossible submissions moves to jobs/admission.ts, unchanged

This moves the function impossible() to a module of its own, to the letter, before the rest is split; no other change.

--- a/src/jobs/desk.ts
+++ b/src/jobs/desk.ts
@@ -1,13 +1,12 @@
 /** Users' requests: submit, status, abort. Every answer rests on a fresh word of the state service. */
-import type { MachineType } from '../cloud/wire.js';
 import type { Core } from '../core.js';
 import type { Answer } from '../http/server.js';
-import { allowed } from '../placement/round.js';
 import { Rank } from '../state/budget.js';
 import type { Condition } from '../state/wire.js';
 import type { JobId, Millis, StateKey, SteadyMs } from '../units.js';
 import { millis, NO_REVISION } from '../units.js';
 import { RangeSet } from '../ranges.js';
+import { impossible } from './admission.js';
 import {
   decodeFinal,
   decodeRecord,
@@ -43,24 +42,6 @@
 /** A user waits 2 s for his answer: whoever's turn comes later than this is told at once. */
 const POLL_PATIENCE = millis(1500);
 
-/** Why a job can never run here, or null. */
-export function impossible(
-  spec: JobSpec,
-  types: Iterable<MachineType>,
-  core: Pick<Core, 'settings'>,
-): string | null {
-  const team = core.settings.teams.get(spec.team);
-  if (!team) return `unknown team ${spec.team}`;
-  const count = spec.shape === 'array' ? 1 : spec.tasks;
-  if (spec.cpus * count > team.cpusMax + 1e-9) return `needs more CPUs than the limit of team ${spec.team}`;
-  if (spec.gpus * count > team.gpusMax + 1e-9) return `needs more GPUs than the limit of team ${spec.team}`;
-  for (const t of types) {
-    if (t.cpus < spec.cpus || t.gpus < spec.gpus || t.memoryGb < spec.memoryGb) continue;
-    if (t.zones.some((z) => allowed(spec, t.name, z, false, null))) return null;
-  }
-  return 'no allowed machine type has room for a task';
-}
-
 /** Everybody who asks about one job, until a transaction goes out that answers them all. */
 interface Poll {
   readonly id: JobId;
