Jobs: JobDesk becomes JobService, with the field's names for lookups and queries

The earlier house style's names (desk, standing, tell, known, busy, poll) are withdrawn. jobs/desk.ts becomes jobs/service.ts: JobDesk -> JobService, Standing -> JobLookup (live, final, unclear -> active, ended, unknown), tell -> respond, known -> existingJob, BUSY and busy -> UNAVAILABLE and unavailable, Poll -> Query, polls -> batches of queries. Names only, no change of behaviour.

--- a/src/controller.ts
+++ b/src/controller.ts
@@ -10,9 +10,9 @@
 import { HttpClient, Sockets } from './http/client.js';
 import { serve, type Answer, type Handler, type Request } from './http/server.js';
 import { decodeTime, TimeKeeper } from './jobs/age.js';
-import { JobDesk } from './jobs/desk.js';
 import { ProgressWriter } from './jobs/progress.js';
 import { LIVE, type Assignment } from './jobs/record.js';
+import { JobService } from './jobs/service.js';
 import { Priority, type JobSpec } from './jobs/spec.js';
 import type { Log } from './log.js';
 import { openMesh, type Mesh } from './mesh/mesh.js';
@@ -90,7 +90,7 @@
   private readonly core: Core;
   private readonly ownership: Ownership;
   private readonly workers: WorkerDesk;
-  private readonly jobs: JobDesk;
+  private readonly jobs: JobService;
   private readonly scheduler: Scheduler;
   private readonly quota: QuotaDesk;
   private readonly fleet: Fleet;
@@ -123,7 +123,7 @@
     const runTimes = new RunTimes();
     this.ownership = new Ownership(core, (p) => this.workers.workersAnswer(p));
     this.workers = new WorkerDesk(core, this.ownership, runTimes, ports.worker);
-    this.jobs = new JobDesk(
+    this.jobs = new JobService(
       core,
       (spec) => this.assign(spec),
       () => this.follower.refresh(),
@@ -131,7 +131,7 @@
     this.quota = new QuotaDesk(core);
     this.fleet = new Fleet(core, runTimes, (part, m) => this.workers.remove(part, m));
     this.scheduler = new Scheduler(core, this.workers, this.quota, this.fleet, runTimes);
-    this.progress = new ProgressWriter(core, (id) => this.jobs.keepFinal(id, 'done'));
+    this.progress = new ProgressWriter(core, (id) => this.jobs.rememberFinal(id, 'done'));
     this.timeKeeper = new TimeKeeper(core);
     core.wake = () => this.scheduler.wake();
   }
--- a/src/jobs/desk.ts
+++ b/src/jobs/service.ts
@@ -23,53 +23,53 @@
 import { decodeSubmission, encodeAccepted, encodeStatus, isJobId, type JobStatus } from './wire.js';
 
 /** What the state service says of a job now. */
-export type Standing =
-  | { readonly kind: 'live'; readonly record: JobRecord }
-  | { readonly kind: 'final'; readonly state: FinalState }
+export type JobLookup =
+  | { readonly kind: 'active'; readonly record: JobRecord }
+  | { readonly kind: 'ended'; readonly state: FinalState }
   | { readonly kind: 'absent' }
-  | { readonly kind: 'unclear' };
+  | { readonly kind: 'unknown' };
 
-const BUSY: Answer = {
+const UNAVAILABLE: Answer = {
   status: 503,
   body: { error: 'state service not available, try again' },
   retryAfterS: 1,
 };
-const FINALS_KEPT = 20_000;
+const MAX_FINAL_STATES = 20_000;
 /** Polls that come within this time share one transaction; at a small request budget more of them do. */
-const POLL_GAP = 60;
-const POLL_SHARE = 0.25;
-const MAX_POLL_GAP = 400;
+const BATCH_INTERVAL_MS = 60;
+const REQUEST_SHARE = 0.25;
+const MAX_BATCH_INTERVAL_MS = 400;
 /** A user waits 2 s for his answer: whoever's turn comes later than this is told at once. */
-const POLL_PATIENCE = millis(1500);
+const MAX_QUERY_WAIT = millis(1500);
 
 /** Everybody who asks about one job, until a transaction goes out that answers them all. */
-interface Poll {
+interface Query {
   readonly id: JobId;
-  readonly resolve: ((s: Standing) => void)[];
+  readonly resolve: ((s: JobLookup) => void)[];
   /** When the last of them asked. */
   asked: SteadyMs;
   tries: number;
 }
 
-function enqueue(queue: Map<JobId, Poll>, poll: Poll): void {
-  const known = queue.get(poll.id);
-  if (!known) queue.set(poll.id, poll);
+function enqueue(queue: Map<JobId, Query>, query: Query): void {
+  const queued = queue.get(query.id);
+  if (!queued) queue.set(query.id, query);
   else {
-    known.resolve.push(...poll.resolve);
-    known.asked = poll.asked;
+    queued.resolve.push(...query.resolve);
+    queued.asked = query.asked;
   }
 }
 
-function tell(poll: Poll, standing: Standing): void {
-  for (const resolve of poll.resolve) resolve(standing);
+function respond(query: Query, lookup: JobLookup): void {
+  for (const resolve of query.resolve) resolve(lookup);
 }
 
-export class JobDesk {
+export class JobService {
   private readonly finals = new Map<JobId, FinalState>();
   /** Questions about jobs that our view shows as live, and about all others. */
-  private readonly livePolls = new Map<JobId, Poll>();
-  private readonly polls = new Map<JobId, Poll>();
-  private polling = false;
+  private readonly activeQueries = new Map<JobId, Query>();
+  private readonly otherQueries = new Map<JobId, Query>();
+  private running = false;
 
   constructor(
     private readonly core: Core,
@@ -85,35 +85,35 @@
     const spec = submission.spec;
     const final = this.finals.get(spec.id);
     if (final) return { status: 200, body: encodeAccepted(spec.id, final) };
-    if (!this.core.view.loaded || this.core.types.size === 0 || !this.core.stateHealthy()) return BUSY;
-    if (this.core.live.has(spec.id)) return this.known(spec.id);
+    if (!this.core.view.loaded || this.core.types.size === 0 || !this.core.stateHealthy()) return UNAVAILABLE;
+    if (this.core.live.has(spec.id)) return this.existingJob(spec.id);
     const why = impossible(spec, this.core.types.values(), this.core);
     if (why !== null) return this.refuse(spec.id, 422, why);
     return this.create(spec);
   }
 
   /** Tells the user when his turn can come. */
-  private busy(): Answer {
+  private unavailable(): Answer {
     const wait = Math.ceil(this.core.state.submitWait / 1000);
-    return { ...BUSY, retryAfterS: Math.min(30, Math.max(1, wait)) };
+    return { ...UNAVAILABLE, retryAfterS: Math.min(30, Math.max(1, wait)) };
   }
 
   /** A known job is never refused, whatever the body says now. */
   private async refuse(id: JobId | null, status: number, error: string): Promise<Answer> {
     if (id === null) return { status, body: { error } };
-    const standing = await this.standing(id);
-    if (standing.kind === 'absent') return { status, body: { error } };
-    return this.acceptedAnswer(id, standing);
+    const lookup = await this.lookUp(id);
+    if (lookup.kind === 'absent') return { status, body: { error } };
+    return this.acceptedAnswer(id, lookup);
   }
 
-  private async known(id: JobId): Promise<Answer> {
-    const standing = await this.standing(id);
-    return standing.kind === 'absent' ? BUSY : this.acceptedAnswer(id, standing);
+  private async existingJob(id: JobId): Promise<Answer> {
+    const lookup = await this.lookUp(id);
+    return lookup.kind === 'absent' ? UNAVAILABLE : this.acceptedAnswer(id, lookup);
   }
 
-  private acceptedAnswer(id: JobId, standing: Standing): Answer {
-    if (standing.kind === 'unclear' || standing.kind === 'absent') return BUSY;
-    const state = standing.kind === 'final' ? standing.state : this.statusOf(id, standing.record).state;
+  private acceptedAnswer(id: JobId, lookup: JobLookup): Answer {
+    if (lookup.kind === 'unknown' || lookup.kind === 'absent') return UNAVAILABLE;
+    const state = lookup.kind === 'ended' ? lookup.state : this.statusOf(id, lookup.record).state;
     return { status: 200, body: encodeAccepted(id, state) };
   }
 
@@ -135,8 +135,8 @@
     let result = await this.core.state.txn(when, [change], Rank.submit);
     // Unclear: a second try either creates the job or shows that it stands.
     if (result.kind === 'unknown') result = await this.core.state.txn(when, [change], Rank.submit);
-    if (result.kind === 'conflict') return this.known(spec.id);
-    if (result.kind !== 'done') return this.busy();
+    if (result.kind === 'conflict') return this.existingJob(spec.id);
+    if (result.kind !== 'done') return this.unavailable();
     const revision = result.revision;
     await this.core.exclusive(() => this.core.view.learn(change.key, value, revision));
     this.core.log.info(
@@ -148,13 +148,13 @@
 
   async status(id: string): Promise<Answer> {
     if (!isJobId(id)) return { status: 404, body: { error: 'no such job' } };
-    const standing = await this.standing(id);
-    if (standing.kind === 'unclear') return BUSY;
-    if (standing.kind === 'absent') return { status: 404, body: { error: 'no such job' } };
-    if (standing.kind === 'live')
-      return { status: 200, body: encodeStatus(this.statusOf(id, standing.record)) };
-    const tasks = standing.state === 'done' ? (this.core.past.get(id)?.tasks ?? 0) : 0;
-    return { status: 200, body: encodeStatus({ id, state: standing.state, done: tasks, running: 0 }) };
+    const lookup = await this.lookUp(id);
+    if (lookup.kind === 'unknown') return UNAVAILABLE;
+    if (lookup.kind === 'absent') return { status: 404, body: { error: 'no such job' } };
+    if (lookup.kind === 'active')
+      return { status: 200, body: encodeStatus(this.statusOf(id, lookup.record)) };
+    const tasks = lookup.state === 'done' ? (this.core.past.get(id)?.tasks ?? 0) : 0;
+    return { status: 200, body: encodeStatus({ id, state: lookup.state, done: tasks, running: 0 }) };
   }
 
   private statusOf(id: JobId, record: JobRecord): JobStatus {
@@ -176,14 +176,14 @@
       const answer = version === NO_REVISION ? await this.abortFresh(id) : await this.abortAt(id, version);
       if (answer) return answer;
     }
-    return BUSY;
+    return UNAVAILABLE;
   }
 
   private async abortFresh(id: JobId): Promise<Answer | null> {
-    const standing = await this.read(id);
-    if (standing.kind === 'unclear') return BUSY;
-    if (standing.kind === 'absent') return { status: 404, body: { error: 'no such job' } };
-    if (standing.kind === 'final') return { status: 200, body: encodeAccepted(id, standing.state) };
+    const lookup = await this.read(id);
+    if (lookup.kind === 'unknown') return UNAVAILABLE;
+    if (lookup.kind === 'absent') return { status: 404, body: { error: 'no such job' } };
+    if (lookup.kind === 'ended') return { status: 200, body: encodeAccepted(id, lookup.state) };
     return this.abortAt(id, this.core.view.version(liveKey(id)));
   }
 
@@ -198,94 +198,94 @@
       Rank.abort,
     );
     if (result.kind === 'conflict' || result.kind === 'unknown') return null;
-    if (result.kind === 'refused') return BUSY;
-    this.keepFinal(id, 'cancelled');
+    if (result.kind === 'refused') return UNAVAILABLE;
+    this.rememberFinal(id, 'cancelled');
     await this.core.exclusive(() => this.core.view.learn(liveKey(id), undefined, result.revision));
     this.core.log.info({ job: id }, 'job cancelled');
     return { status: 200, body: encodeAccepted(id, 'cancelled') };
   }
 
-  keepFinal(id: JobId, state: FinalState): void {
+  rememberFinal(id: JobId, state: FinalState): void {
     this.finals.set(id, state);
-    if (this.finals.size > FINALS_KEPT) this.finals.delete(this.finals.keys().next().value as JobId);
+    if (this.finals.size > MAX_FINAL_STATES) this.finals.delete(this.finals.keys().next().value as JobId);
   }
 
   /**
    * What holds now. One look at what has changed since makes the view fresh for all live jobs asked about before
    * it; other jobs share a transaction that only compares: if no key has come, our view of them still stands.
    */
-  private standing(id: JobId): Promise<Standing> {
+  private lookUp(id: JobId): Promise<JobLookup> {
     const final = this.finals.get(id);
-    if (final) return Promise.resolve({ kind: 'final', state: final });
-    if (!this.core.stateHealthy()) return Promise.resolve({ kind: 'unclear' });
-    const queue = this.core.live.has(id) ? this.livePolls : this.polls;
+    if (final) return Promise.resolve({ kind: 'ended', state: final });
+    if (!this.core.stateHealthy()) return Promise.resolve({ kind: 'unknown' });
+    const queue = this.core.live.has(id) ? this.activeQueries : this.otherQueries;
     // Judged on arrival: a queue of questions whose users have gone would keep everybody's answer away for good.
-    if (queue === this.polls && !queue.has(id) && this.pollWait() > POLL_PATIENCE)
-      return Promise.resolve({ kind: 'unclear' });
+    if (queue === this.otherQueries && !queue.has(id) && this.expectedWait() > MAX_QUERY_WAIT)
+      return Promise.resolve({ kind: 'unknown' });
     return new Promise((resolve) => {
       enqueue(queue, { id, resolve: [resolve], asked: this.core.clock.now(), tries: 0 });
-      void this.runPolls();
+      void this.runBatches();
     });
   }
 
-  private get pollGap(): Millis {
-    const gap = Math.min(MAX_POLL_GAP, 1000 / (this.core.state.requestRate * POLL_SHARE));
-    return millis(Math.max(POLL_GAP, gap));
+  private get batchInterval(): Millis {
+    const gap = Math.min(MAX_BATCH_INTERVAL_MS, 1000 / (this.core.state.requestRate * REQUEST_SHARE));
+    return millis(Math.max(BATCH_INTERVAL_MS, gap));
   }
 
   /** A job that is not live needs two conditions, of which a transaction takes four for each change. */
-  private get pollBatch(): number {
+  private get batchSize(): number {
     return this.core.settings.txnOps * 2;
   }
 
-  private pollWait(): Millis {
-    return millis(Math.ceil((this.polls.size + 1) / this.pollBatch) * this.pollGap);
+  private expectedWait(): Millis {
+    return millis(Math.ceil((this.otherQueries.size + 1) / this.batchSize) * this.batchInterval);
   }
 
-  private async runPolls(): Promise<void> {
-    if (this.polling) return;
-    this.polling = true;
-    while (this.polls.size + this.livePolls.size > 0) {
-      await this.core.sleep(this.pollGap);
-      await this.answerLive([...this.livePolls.values()]);
+  private async runBatches(): Promise<void> {
+    if (this.running) return;
+    this.running = true;
+    while (this.otherQueries.size + this.activeQueries.size > 0) {
+      await this.core.sleep(this.batchInterval);
+      await this.answerActive([...this.activeQueries.values()]);
       const batch = this.nextBatch();
       if (batch.length > 0) await this.checkBatch(batch);
     }
-    this.polling = false;
+    this.running = false;
   }
 
-  private nextBatch(): Poll[] {
-    const batch: Poll[] = [];
-    for (const poll of this.polls.values()) {
-      if (batch.length >= this.pollBatch) break;
-      this.polls.delete(poll.id);
+  private nextBatch(): Query[] {
+    const batch: Query[] = [];
+    for (const query of this.otherQueries.values()) {
+      if (batch.length >= this.batchSize) break;
+      this.otherQueries.delete(query.id);
       // The store was slow: nobody waits for this answer any more.
-      if (this.core.clock.now() - poll.asked > POLL_PATIENCE) tell(poll, { kind: 'unclear' });
-      else batch.push(poll);
+      if (this.core.clock.now() - query.asked > MAX_QUERY_WAIT) respond(query, { kind: 'unknown' });
+      else batch.push(query);
     }
     return batch;
   }
 
   /** The watch may have shown by now that nothing newer existed when they asked: then it costs nothing. */
-  private async answerLive(batch: readonly Poll[]): Promise<void> {
+  private async answerActive(batch: readonly Query[]): Promise<void> {
     if (batch.length === 0) return;
-    this.livePolls.clear();
+    this.activeQueries.clear();
     const asked = Math.max(...batch.map((p) => p.asked));
     const { view } = this.core;
     const fresh = (): boolean => view.loaded && view.confirmed >= asked;
     const sure = fresh() || ((await this.refresh()) && fresh());
-    for (const poll of batch) {
-      const record = this.core.live.get(poll.id);
-      if (!sure) tell(poll, { kind: 'unclear' });
-      else if (record) tell(poll, { kind: 'live', record });
-      else enqueue(this.polls, poll);
+    for (const query of batch) {
+      const record = this.core.live.get(query.id);
+      if (!sure) respond(query, { kind: 'unknown' });
+      else if (record) respond(query, { kind: 'active', record });
+      else enqueue(this.otherQueries, query);
     }
   }
 
-  private viewed(id: JobId): Standing {
+  private lookupFromView(id: JobId): JobLookup {
     const record = this.core.live.get(id);
-    if (record) return { kind: 'live', record };
-    return { kind: this.core.view.version(liveKey(id)) === NO_REVISION ? 'absent' : 'unclear' };
+    if (record) return { kind: 'active', record };
+    return { kind: this.core.view.version(liveKey(id)) === NO_REVISION ? 'absent' : 'unknown' };
   }
 
   private conditionsFor(id: JobId): Condition[] {
@@ -293,17 +293,17 @@
     return live.version === NO_REVISION ? [live, { key: finalKey(id), version: NO_REVISION }] : [live];
   }
 
-  private async checkBatch(batch: readonly Poll[]): Promise<void> {
-    const seen = new Map(batch.map((p) => [p.id, this.viewed(p.id)] as const));
+  private async checkBatch(batch: readonly Query[]): Promise<void> {
+    const seen = new Map(batch.map((p) => [p.id, this.lookupFromView(p.id)] as const));
     const conditions = new Map<StateKey, Condition>();
     for (const p of batch) for (const c of this.conditionsFor(p.id)) conditions.set(c.key, c);
     const result = await this.core.state.txn([...conditions.values()], [], Rank.submit);
     if (result.kind === 'done') {
-      for (const p of batch) tell(p, seen.get(p.id) as Standing);
+      for (const p of batch) respond(p, seen.get(p.id) as JobLookup);
       return;
     }
     if (result.kind !== 'conflict') {
-      for (const p of batch) tell(p, { kind: 'unclear' });
+      for (const p of batch) respond(p, { kind: 'unknown' });
       return;
     }
     const failed = new Set(result.failed);
@@ -312,34 +312,34 @@
       p.tries += 1;
       const stands = !failed.has(liveKey(p.id));
       // A final state stands for good: it need not be asked whether the job is live.
-      if (failed.has(finalKey(p.id))) reads.push(this.readFinal(p.id).then((standing) => tell(p, standing)));
-      else if (!stands || p.tries >= 4) reads.push(this.read(p.id).then((standing) => tell(p, standing)));
-      else enqueue(this.polls, p);
+      if (failed.has(finalKey(p.id))) reads.push(this.readFinal(p.id).then((lookup) => respond(p, lookup)));
+      else if (!stands || p.tries >= 4) reads.push(this.read(p.id).then((lookup) => respond(p, lookup)));
+      else enqueue(this.otherQueries, p);
     }
     await Promise.all(reads);
   }
 
   /** Reads the record, then the final state: a job that ends in between is found by the second read. */
-  private async read(id: JobId): Promise<Standing> {
+  private async read(id: JobId): Promise<JobLookup> {
     const live = await this.core.state.get(liveKey(id), Rank.submit);
-    if (live.kind === 'failed') return { kind: 'unclear' };
+    if (live.kind === 'failed') return { kind: 'unknown' };
     if (live.kind === 'found') {
       const record = decodeRecord(live.entry.value);
       await this.core.exclusive(() =>
         this.core.view.learn(live.entry.key, live.entry.value, live.entry.version),
       );
-      return record ? { kind: 'live', record } : { kind: 'unclear' };
+      return record ? { kind: 'active', record } : { kind: 'unknown' };
     }
     return this.readFinal(id);
   }
 
-  private async readFinal(id: JobId): Promise<Standing> {
+  private async readFinal(id: JobId): Promise<JobLookup> {
     const final = await this.core.state.get(finalKey(id), Rank.submit);
-    if (final.kind === 'failed') return { kind: 'unclear' };
+    if (final.kind === 'failed') return { kind: 'unknown' };
     if (final.kind === 'absent') return { kind: 'absent' };
     const state = decodeFinal(final.entry.value);
-    if (!state) return { kind: 'unclear' };
-    this.keepFinal(id, state);
-    return { kind: 'final', state };
+    if (!state) return { kind: 'unknown' };
+    this.rememberFinal(id, state);
+    return { kind: 'ended', state };
   }
 }
