--- a/src/jobs/desk.ts
+++ b/src/jobs/desk.ts
@@ -208,8 +208,12 @@
 
   /** null: the record has changed since that version. */
   private async abortAt(id: JobId, version: Condition['version']): Promise<Answer | null> {
+    // The view may have dropped the job after our read found it live: its end must not be overwritten then.
     const result = await this.core.state.txn(
-      [{ key: liveKey(id), version }],
+      [
+        { key: liveKey(id), version },
+        { key: finalKey(id), version: NO_REVISION },
+      ],
       [
         { op: 'drop', key: liveKey(id) },
         { op: 'put', key: finalKey(id), value: encodeFinal('cancelled') },
--- a/src/state/view.ts
+++ b/src/state/view.ts
@@ -35,8 +35,12 @@
     yield* this.groups.get(prefix)?.values() ?? [];
   }
 
-  /** One fact, from the feed, a read, or our own committed write. Older facts change nothing. */
+  /**
+   * One fact, from the feed, a read, or our own committed write. Older facts change nothing: up to `revision` the view
+   * is complete, so a read or a write that is answered late must not bring back a key that was dropped since.
+   */
   learn(key: StateKey, value: unknown, version: Revision): void {
+    if (version <= this.revision) return;
     const known = Math.max(this.version(key), this.dropped.get(key) ?? 0);
     if (version <= known) return;
     if (value === undefined) {
--- a/test/standins/state.ts
+++ b/test/standins/state.ts
@@ -8,7 +8,7 @@
   mooring: number | undefined;
 }
 
-interface TxnBody {
+export interface TxnBody {
   when: { path: string; entry: number }[];
   apply?: { put?: string; drop?: string; data?: unknown; mooring?: number }[];
 }
@@ -87,6 +87,10 @@
   slow: (body: TxnBody) => number = () => 0;
   /** Decides the fate of a transaction: lose its answer, or hold it back for some milliseconds. */
   fate: (node: string, body: TxnBody) => 'normal' | 'lose-answer' | { holdMs: number } = () => 'normal';
+  /** How much later than it is carried out a request (watches aside) is answered. */
+  answerDelay: (node: string, call: Call) => number = () => 0;
+  /** Called with every transaction that has just changed something, before its answer is on its way. */
+  applied: (body: TxnBody) => void = () => undefined;
 
   readonly requests: Meter;
   readonly changes: Meter;
@@ -129,6 +133,13 @@
   }
 
   async call(node: string, call: Call): Promise<Outcome> {
+    const outcome = await this.serve(node, call);
+    const delay = call.path.startsWith('/follow') ? 0 : this.answerDelay(node, call);
+    if (delay > 0) await this.clock.sleep(Math.min(delay, call.timeout));
+    return delay < call.timeout ? outcome : { kind: 'unknown' };
+  }
+
+  private async serve(node: string, call: Call): Promise<Outcome> {
     if (this.cut.has(node)) {
       await this.clock.sleep(call.timeout);
       return { kind: 'unknown' };
@@ -181,6 +192,7 @@
       }
     }
     this.notify();
+    if ((body.apply ?? []).length > 0) this.applied(body);
     return answer(200, { ledger: this.ledger });
   }
 
