--- a/test/standins/worker.ts
+++ b/test/standins/worker.ts
@@ -34,6 +34,9 @@
   readonly nodes: readonly string[];
   readonly job: (leg: string) => JobFacts | null;
   readonly trace: (line: string) => void;
+  /** It holds the task's image, and has it until the second call; `done`: it completed. */
+  readonly started: (worker: WorkerStandin, leg: string) => void;
+  readonly ended: (worker: WorkerStandin, leg: string, done: boolean) => void;
 }
 
 export class WorkerStandin {
@@ -66,6 +69,12 @@
     return [...this.tasks.values()].filter((t) => t.status === 'running' || t.status === 'saving');
   }
 
+  private forgetTasks(): void {
+    for (const t of this.tasks.values()) t.ends?.cancel();
+    for (const t of this.active()) this.world.ended(this, t.leg, false);
+    this.tasks.clear();
+  }
+
   private body(): unknown {
     this.sequence += 1;
     const now = this.world.clock.now();
@@ -93,8 +102,7 @@
     const { clock, leaseMs, trace } = this.world;
     if (clock.now() - this.leaseFrom <= leaseMs) return;
     if (this.tasks.size > 0) trace(`${this.id} lease over, forgets ${this.tasks.size} tasks`);
-    for (const t of this.tasks.values()) t.ends?.cancel();
-    this.tasks.clear();
+    this.forgetTasks();
     this.session += 1;
     this.leaseFrom = clock.now();
   }
@@ -173,6 +181,7 @@
     task.ends = this.world.clock.after(200, () => {
       task.status = 'running';
       this.world.trace(`${this.id} runs ${task.leg}`);
+      this.world.started(this, task.leg);
       const ends = facts.fails ? 500 : facts.runMs;
       task.ends = Number.isFinite(ends)
         ? this.world.clock.after(ends, () => this.exit(task, facts.fails ? 'error' : 'done'))
@@ -183,15 +192,16 @@
   private exit(task: Task, cause: string): void {
     task.ends?.cancel();
     task.ends = null;
+    const ran = task.status === 'running' || task.status === 'saving';
     task.status = 'exited';
     task.cause = cause;
     this.world.trace(`${this.id} ends ${task.leg}: ${cause}`);
+    if (ran) this.world.ended(this, task.leg, cause === 'done');
   }
 
   /** Off and on again: everything is gone, and the worker is in a new session. */
   restart(): void {
-    for (const t of this.tasks.values()) t.ends?.cancel();
-    this.tasks.clear();
+    this.forgetTasks();
     this.session += 1;
     this.sequence = 0;
     this.token = 0;
@@ -200,7 +210,6 @@
 
   destroy(): void {
     this.alive = false;
-    for (const t of this.tasks.values()) t.ends?.cancel();
-    this.tasks.clear();
+    this.forgetTasks();
   }
 }
--- a/test/standins/world.ts
+++ b/test/standins/world.ts
@@ -6,6 +6,7 @@
 import { parseSettings, parseTuning, type Settings } from '../../src/settings/settings.js';
 import type { Incarnation } from '../../src/units.js';
 import { SimClock, settle } from './clock.js';
+import { Judge, type TeamLimit } from './judge.js';
 import { frame } from '../../src/mesh/mesh.js';
 import { Meter, StateStandin, type Limits } from './state.js';
 import { WorkerStandin, type JobFacts, type WorkerWorld } from './worker.js';
@@ -14,7 +15,7 @@
 export interface Shape {
   /** Of each controller. */
   readonly zones: readonly string[];
-  readonly teams: readonly { name: string; cpus: number; cpusMax: number }[];
+  readonly teams: readonly (TeamLimit & { readonly cpus: number })[];
   readonly reportS: number;
   readonly leaseS: number;
   readonly cancelS: number;
@@ -88,17 +89,6 @@
   life: number;
 }
 
-interface JobEntry extends JobFacts {
-  readonly team: string;
-  readonly tasks: number;
-  readonly spread: boolean;
-  readonly spot: boolean;
-  readonly zone: string | null;
-  readonly types: readonly string[] | null;
-  cancelledAt: number | null;
-  told: string | null;
-}
-
 export interface JobOptions {
   readonly tasks?: number;
   readonly team?: string;
@@ -108,6 +98,7 @@
   readonly gang?: boolean;
   readonly rank?: string;
   readonly spread?: boolean;
+  readonly samePlace?: boolean;
   readonly spot?: boolean;
   readonly zone?: string | null;
   readonly fails?: boolean;
@@ -121,9 +112,10 @@
   readonly state: StateStandin;
   readonly nodes: Node[];
   readonly workers = new Map<string, WorkerStandin>();
-  readonly jobs = new Map<string, JobEntry>();
+  readonly jobs = new Map<string, JobFacts>();
   readonly lines: string[] = [];
   readonly broken: string[] = [];
+  readonly judge: Judge;
   /** Cuts between two ends, like `n0|m-0` or `n0|n1`: nothing passes. */
   readonly cuts = new Set<string>();
   /** Machines that are heard and hear nothing: answers and commands do not reach them. */
@@ -150,6 +142,7 @@
 
   constructor(readonly shape: Shape = SMALL) {
     this.state = new StateStandin(this.clock, shape.state);
+    this.judge = new Judge(() => this.clock.now(), shape.cancelS * 1000, shape.teams, this.broken);
     this.nodes = shape.zones.map(() => ({ controller: null, handler: null, mesh: null, life: 0 }));
   }
 
@@ -325,6 +318,8 @@
       report: (n, from, body) => this.reportTo(n, from, body),
       job: (leg) => this.jobs.get(leg.split('/')[0] ?? '') ?? null,
       trace: (line) => this.trace(line),
+      started: (on, leg) => this.judge.taskStarted(on, leg),
+      ended: (on, leg, done) => this.judge.taskEnded(on, leg, done),
     };
     const cpus = type === 'large' ? 8 : 4;
     const address = `10.1.${Math.floor(number / 256)}.${number % 256}:9000`;
@@ -363,8 +358,15 @@
     const handler = this.nodes[n]?.handler;
     if (!handler) return null;
     const raw = Buffer.from(body === undefined ? '' : JSON.stringify(body));
+    this.judge.asked(method, path, body);
     const answer = await handler({ method, path, body: raw });
-    return { ...answer, body: JSON.parse(JSON.stringify(answer.body)) as unknown };
+    const said = JSON.parse(JSON.stringify(answer.body)) as unknown;
+    // What a process that has ended was about to say reaches nobody.
+    if (this.nodes[n]?.handler === handler) {
+      const state = (said as Record<string, unknown> | null)?.['status'];
+      this.judge.answered({ method, path, status: answer.status, state }, body);
+    }
+    return { ...answer, body: said };
   }
 
   /** A copy of an earlier report arrives; `back`: how many reports before the last one. */
@@ -403,37 +405,28 @@
     const what = path.replace('/v2/runs', '') || `/${(body as { uid: string }).uid}`;
     const word = given.status === 200 || given.status === 201 ? said['status'] : said['error'];
     this.trace(`user ${method} ${what} at n${n}: ${given.status} ${word ?? ''}`);
-    this.heard(what, given.status, said);
     return { status: given.status, body: said };
   }
 
-  private heard(what: string, status: number, said: Record<string, unknown>): void {
-    const job = this.jobs.get(what.split('/')[1] ?? '');
-    if (!job) return;
-    const final = job.told === 'done' || job.told === 'cancelled';
-    if (status === 404 && job.told) this.broken.push(`forgotten ${what}`);
-    if (status !== 200 && status !== 201) return;
-    const state = String(said['status']);
-    if (final && state !== job.told) this.broken.push(`went_back ${what}: ${job.told} then ${state}`);
-    if (state === 'cancelled') job.cancelledAt ??= this.clock.now();
-    job.told = state;
-  }
-
   submission(id: string, o: JobOptions = {}): Record<string, unknown> {
     const tasks = o.tasks ?? 1;
     this.jobs.set(id, {
-      team: o.team ?? 'red',
-      tasks,
       cpus: o.cpus ?? 2,
       runMs: o.service ? Infinity : (o.runMs ?? 5000),
       saveS: o.saveS ?? 0,
       fails: o.fails ?? false,
+    });
+    this.judge.describe({
+      id,
+      team: o.team ?? 'red',
+      tasks,
+      cpus: o.cpus ?? 2,
+      gpus: 0,
       spread: o.spread ?? false,
+      samePlace: o.samePlace ?? false,
       spot: o.spot ?? false,
       zone: o.zone ?? null,
       types: o.types ?? null,
-      cancelledAt: null,
-      told: null,
     });
     return {
       uid: id,
@@ -449,7 +442,7 @@
       sizeGb: 1,
       hulls: o.types ?? null,
       harbor: o.zone ?? null,
-      samePlace: false,
+      samePlace: o.samePlace ?? false,
       apart: o.spread ?? false,
       driftboats: o.spot ?? false,
       passageS: o.service ? 0 : (o.runMs ?? 5000) / 1000,
@@ -472,51 +465,8 @@
       await this.clock.advance(Math.min(50, left));
       if (this.clock.now() - this.judged < this.shape.judgeMs) continue;
       this.judged = this.clock.now();
-      this.judge();
-    }
-  }
-
-  /** Every rule that can be seen from outside, checked every 50 ms. */
-  judge(): void {
-    const seen = new Map<string, string>();
-    const used = new Map<string, number>();
-    const zones = new Map<string, Map<string, number>>();
-    for (const w of this.workers.values()) {
-      for (const t of w.active()) {
-        const id = t.leg.split('/')[0] ?? '';
-        const job = this.jobs.get(id);
-        if (seen.has(t.leg)) this.breaks(`ran_twice ${t.leg} on ${seen.get(t.leg)} and ${w.id}`);
-        seen.set(t.leg, w.id);
-        if (!job) continue;
-        used.set(job.team, (used.get(job.team) ?? 0) + job.cpus);
-        const perZone = zones.get(id) ?? new Map<string, number>();
-        perZone.set(w.zone, (perZone.get(w.zone) ?? 0) + 1);
-        zones.set(id, perZone);
-        this.judgePlace(t.leg, job, w);
-        if (job.cancelledAt !== null && this.clock.now() > job.cancelledAt + this.shape.cancelS * 1000)
-          this.breaks(`ran_cancelled ${t.leg}`);
-      }
-    }
-    for (const { name, cpusMax } of this.shape.teams) {
-      const cpus = used.get(name) ?? 0;
-      if (cpus > cpusMax) this.breaks(`quota ${name}: ${cpus}`);
+      this.judge.checkOverdue();
     }
-    for (const [id, perZone] of zones) {
-      const job = this.jobs.get(id);
-      if (!job?.spread) continue;
-      for (const n of perZone.values())
-        if (n > Math.ceil(job.tasks / 2)) this.breaks(`wrong_place ${id} not spread`);
-    }
-  }
-
-  private judgePlace(leg: string, job: JobEntry, w: WorkerStandin): void {
-    if (w.spot && !job.spot) this.breaks(`wrong_place ${leg} on spot`);
-    if (job.zone !== null && job.zone !== w.zone) this.breaks(`wrong_place ${leg} in ${w.zone}`);
-    if (job.types && !job.types.includes(w.type)) this.breaks(`wrong_place ${leg} on ${w.type}`);
-  }
-
-  private breaks(what: string): void {
-    if (!this.broken.includes(what)) this.broken.push(what);
   }
 
   async start(nodes = this.nodes.keys()): Promise<void> {
