A resource whose guarantee or limit is 0 has none: GPU-only teams run

A limit of 0 CPUs was read as "no CPUs allowed" by the submission check and by the shares, and a guarantee of 0 as "everything is above it", so nothing ran where teams are given in GPUs only.

A guarantee of 0 is not counted, a team without any has no guaranteed jobs, and what asks only for resources without a guarantee is not guaranteed. Spare shares are announced in GPUs where only they are limited. A job that asks for GPUs where no type has any is refused by type (422).

--- a/src/quota/desk.ts
+++ b/src/quota/desk.ts
@@ -74,12 +74,18 @@
     return gift(this.share(part.id, team), all, this.need(part, team), asked);
   }
 
+  /** What could be lent of the team's limit: in CPUs, or in GPUs where only they are limited. */
+  private lendable(part: Part, team: TeamId): number {
+    const { cpus, gpus } = this.usable(part, team, { cpus: Infinity, gpus: Infinity });
+    return this.core.settings.teams.get(team)?.cpusMax === 0 ? gpus : cpus;
+  }
+
   /** Unused shares by team, for the announcements. */
   spare(part: Part): Map<TeamId, number> {
     const out = new Map<TeamId, number>();
     for (const team of this.core.settings.teams.keys()) {
-      const cpus = this.usable(part, team, { cpus: Infinity, gpus: Infinity }).cpus;
-      if (cpus > 0) out.set(team, Math.floor(cpus));
+      const amount = this.lendable(part, team);
+      if (amount > 0) out.set(team, Math.floor(amount));
     }
     return out;
   }
@@ -107,7 +113,7 @@
 
   private spareOf(part: PartId, team: TeamId, now: SteadyMs): number {
     const own = this.core.parts.get(part);
-    if (own) return this.usable(own, team, { cpus: Infinity, gpus: Infinity }).cpus;
+    if (own) return this.lendable(own, team);
     const news = this.core.partNews.get(part);
     return news && news.expires > now ? (news.spare.get(team) ?? 0) : 0;
   }
@@ -138,7 +144,14 @@
     if (result.kind === 'conflict') await this.awaitNewer(quota, known.version, part);
     this.pending.delete(key);
     core.log.debug(
-      { team: ask.team, from: ask.to, to: ask.from, cpus: amount.cpus, result: result.kind },
+      {
+        team: ask.team,
+        from: ask.to,
+        to: ask.from,
+        cpus: amount.cpus,
+        gpus: amount.gpus,
+        result: result.kind,
+      },
       'share moved',
     );
     core.wake();
--- a/src/quota/guarantee.ts
+++ b/src/quota/guarantee.ts
@@ -3,16 +3,26 @@
 import type { Team } from '../settings/settings.js';
 import type { JobId, TeamId } from '../units.js';
 
+/** A guarantee of 0 is none: that resource is not counted, and what asks for such resources alone is not guaranteed. */
+function asksForGuaranteed({ spec }: JobRecord, team: Team): boolean {
+  if (team.cpus === 0 && team.gpus === 0) return false;
+  const asksForNone = spec.cpus === 0 && spec.gpus === 0;
+  return asksForNone || (team.cpus > 0 && spec.cpus > 0) || (team.gpus > 0 && spec.gpus > 0);
+}
+
 /** Every controller sees the same records, and so comes to the same answer. */
 export function guaranteedOf(records: readonly JobRecord[], team: Team): Set<JobId> {
   const out = new Set<JobId>();
   let cpus = 0;
   let gpus = 0;
+  const isWithin = (total: number, guarantee: number): boolean =>
+    guarantee === 0 || total <= guarantee + 1e-6;
   for (const r of [...records].sort((a, b) => a.born - b.born || (a.spec.id < b.spec.id ? -1 : 1))) {
     const open = r.spec.tasks - r.done.size;
     cpus += open * r.spec.cpus;
     gpus += open * r.spec.gpus;
-    if (cpus <= team.cpus + 1e-6 && gpus <= team.gpus + 1e-6) out.add(r.spec.id);
+    const fits = isWithin(cpus, team.cpus) && isWithin(gpus, team.gpus);
+    if (fits && asksForGuaranteed(r, team)) out.add(r.spec.id);
   }
   return out;
 }
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -48,8 +48,8 @@
     teams: v.array(
       table({
         name,
-        cpus: amount,
-        cpus_max: amount,
+        cpus: v.optional(amount, 0),
+        cpus_max: v.optional(amount, 0),
         gpus: v.optional(amount, 0),
         gpus_max: v.optional(amount, 0),
       }),
@@ -71,6 +71,7 @@
   readonly part: PartId;
 }
 
+/** A guarantee or limit of 0 is none. */
 export interface Team {
   readonly name: TeamId;
   readonly cpus: number;
--- /dev/null
+++ b/test/resources.test.ts
@@ -0,0 +1,103 @@
+/** CPUs, GPUs and memory count alike, and what has a guarantee or limit of 0 has none. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { impossible } from '../src/jobs/desk.js';
+import type { JobRecord } from '../src/jobs/record.js';
+import type { JobSpec } from '../src/jobs/spec.js';
+import { guaranteedOf } from '../src/quota/guarantee.js';
+import { decodeShares, encodeShares, evenShares, gift } from '../src/quota/shares.js';
+import { RangeSet } from '../src/ranges.js';
+import type { Team } from '../src/settings/settings.js';
+import type { TeamId } from '../src/units.js';
+import { plainSpec } from './standins/spec.js';
+import { checkTrace } from './standins/trace.js';
+import { SMALL, World, type Shape } from './standins/world.js';
+
+const GPU_MACHINES = [{ name: 'gpu', cpus: 64, gpus: 8, memoryGb: 512 }];
+const GPU_TEAMS: Shape = {
+  ...SMALL,
+  machineTypes: GPU_MACHINES,
+  teams: [
+    { name: 'red', cpus: 0, cpusMax: 0, gpus: 6, gpusMax: 12 },
+    { name: 'blue', cpus: 0, cpusMax: 0, gpus: 6, gpusMax: 24 },
+  ],
+};
+
+const gpuTeam: Team = { name: 'red' as TeamId, cpus: 0, cpusMax: 0, gpus: 8, gpusMax: 20 };
+const cpuTeam: Team = { name: 'red' as TeamId, cpus: 8, cpusMax: 20, gpus: 0, gpusMax: 0 };
+
+async function threeGpuMachines(shape: Shape): Promise<World> {
+  const w = new World(shape);
+  for (const zone of ['east', 'west', 'east']) w.addWorker('gpu', zone);
+  await w.start();
+  return w;
+}
+
+const started = (w: World, job: string): number => w.lines.filter((l) => l.includes(` runs ${job}/`)).length;
+
+test('teams with GPU limits only: their tasks start, run and stay within the GPU limit', async () => {
+  const w = await threeGpuMachines(GPU_TEAMS);
+  // 12 of its 18 tasks may run at a time, whatever CPUs they take.
+  await w.submit(0, 'req-1', { tasks: 18, cpus: 6, gpus: 1, runMs: 6000 });
+  await w.submit(1, 'req-2', { service: true, team: 'blue', tasks: 4, cpus: 5, gpus: 1 });
+  await w.submit(2, 'req-3', { service: true, tasks: 13, cpus: 1, gpus: 1 });
+  await w.step(5000);
+  assert.equal(started(w, 'req-1'), 12);
+  assert.equal(started(w, 'req-2'), 4);
+  await w.step(15000);
+  await w.ask(0, 'GET', '/v2/runs/req-1');
+  checkTrace(w, 'gpu-only-teams');
+});
+
+test('where no team has a GPU limit and no machine a GPU, a job that asks for one is refused by type', async () => {
+  const w = new World();
+  w.addWorker('large', 'east');
+  await w.start();
+  const answer = await w.submit(0, 'req-1', { gpus: 1 });
+  assert.equal(answer.status, 422);
+  assert.match(String(answer.body['error']), /machine type/);
+});
+
+test('a limit of 0 is none: it refuses nothing, and its shares are unlimited and cannot be given', () => {
+  const core = { settings: { teams: new Map([[gpuTeam.name, gpuTeam]]) } } as never;
+  const types = [{ name: 'gpu', cpus: 64, gpus: 8, memoryGb: 512, zones: ['east'] }] as never;
+  const why = (o: Partial<JobSpec>): string | null => impossible(plainSpec(o), types, core);
+  assert.equal(why({ cpus: 64, gpus: 1 }), null);
+  assert.equal(why({ shape: 'service', tasks: 20, cpus: 60, gpus: 1 }), null);
+  assert.match(why({ shape: 'service', tasks: 21, gpus: 1 }) ?? '', /GPUs/);
+
+  const even = evenShares(gpuTeam, 3);
+  assert.deepEqual(even, [
+    { cpus: Infinity, gpus: 7 },
+    { cpus: Infinity, gpus: 7 },
+    { cpus: Infinity, gpus: 6 },
+  ]);
+  const written = JSON.parse(JSON.stringify(encodeShares(gpuTeam, even))) as unknown;
+  assert.deepEqual(written, { max: [0, 20], cpus: [0, 0, 0], gpus: [7, 7, 6] });
+  assert.deepEqual(decodeShares(written, gpuTeam, 3), even);
+  const share = { cpus: Infinity, gpus: 7 };
+  const asked = { cpus: 100, gpus: 100 };
+  const used = { cpus: Infinity, gpus: 2 };
+  assert.deepEqual(gift(share, used, { cpus: 4, gpus: 1 }, asked), { cpus: 0, gpus: 4 });
+});
+
+test('a guarantee of 0 is none: the resource is not counted, and nothing is guaranteed by it', () => {
+  const job = (id: string, born: number, o: Partial<JobSpec>): JobRecord =>
+    ({ spec: plainSpec({ id, ...o }), born, done: RangeSet.empty() }) as unknown as JobRecord;
+  const jobs = [
+    job('req-a', 1, { tasks: 6, cpus: 6, gpus: 1 }),
+    job('req-b', 2, { tasks: 2, cpus: 60, gpus: 1 }),
+    job('req-c', 3, { tasks: 1, cpus: 1, gpus: 0 }),
+    job('req-d', 4, { tasks: 1, cpus: 1, gpus: 1 }),
+  ];
+  assert.deepEqual([...guaranteedOf(jobs, gpuTeam)], ['req-a', 'req-b'], 'by GPUs alone');
+  const plain = [job('req-a', 1, { tasks: 3 }), job('req-b', 2, { tasks: 2 })];
+  assert.deepEqual([...guaranteedOf(plain, cpuTeam)], ['req-a'], 'by CPUs alone, as before');
+  assert.deepEqual([...guaranteedOf(plain, { ...cpuTeam, cpus: 0 })], [], 'no guarantee at all');
+  const both = { ...cpuTeam, gpus: 4, gpusMax: 10 };
+  assert.deepEqual(
+    [...guaranteedOf([job('req-a', 1, { tasks: 3, gpus: 2 })], both)],
+    [],
+    'fits in CPUs alone',
+  );
+});
