Move waiting tasks off a zone without room; stop hiding room and tasks behind pins

A 3-replica spread service that lost the zone of two of its tasks kept one waiting for good while the other zone had room. Causes, each with a test that fails without the change (test/waiting.test.ts): - Pins were fixed at acceptance. Tasks that waited 5 s for room in their zone, and are on no machine, now move in one write on condition of the record (flock/repin.ts); finished tasks still count for their zone. - Zones were chosen without looking at where the allowed types exist (flock/assign.ts eligibleZones). - 200 unplaced tasks of one zone ended the job's turn in a round before its tasks in the other zone were looked at. - A hand-over looked at the zone of a job's first task only. - An offer took off room for tasks that wait for another zone, and for jobs in their back-off after errors.

With each guard cut out of the built code the named unit test failed; without the zone move both zone-loss worlds failed (two of three replicas, one-zone job never began).

--- a/src/controller.ts
+++ b/src/controller.ts
@@ -264,6 +264,7 @@
       homeZone: zoneOfPart(core, home),
       parts: core.settings.parts,
       zones: core.settings.zones,
+      types: [...core.types.values()],
       offers: core.offers,
       ready: core.ready,
       random: core.random,
--- a/src/flock/assign.ts
+++ b/src/flock/assign.ts
@@ -1,7 +1,10 @@
 /** Which part a new job's tasks are entrusted to, and in which zone those of a constrained job must be. */
+import type { MachineType } from '../cloud/wire.js';
 import type { Assignment } from '../jobs/record.js';
 import { Priority, type JobSpec } from '../jobs/spec.js';
 import type { ImageId, PartId, SteadyMs, ZoneId } from '../units.js';
+import { allowed } from '../placement/round.js';
+import { fits } from '../placement/places.js';
 import { capacityFor, reserve, willingList, type Offer, type Random } from './willing.js';
 
 export interface AssignContext {
@@ -10,6 +13,7 @@
   readonly homeZone: ZoneId;
   readonly parts: readonly { part: PartId; zone: ZoneId }[];
   readonly zones: readonly ZoneId[];
+  readonly types: readonly MachineType[];
   /** Announced room of every part, our own included. */
   readonly offers: ReadonlyMap<PartId, Offer>;
   /** By part and image: CPUs that critical work could have at once where the image is. */
@@ -127,8 +131,20 @@
   return { from: 0, to: spec.tasks, part: home ? ctx.home : fitting.offer.part, zone: spec.zone };
 }
 
+/** Zones in which the cloud has machines that can take a task; all zones while no type is known to. */
+export function eligibleZones(
+  spec: JobSpec,
+  zones: readonly ZoneId[],
+  types: readonly MachineType[],
+): readonly ZoneId[] {
+  const eligible = zones.filter((zone) =>
+    types.some((t) => t.zones.includes(zone) && fits(t, spec) && allowed(spec, t.name, zone, false, null)),
+  );
+  return eligible.length > 0 ? eligible : zones;
+}
+
 export function assignJob(spec: JobSpec, ctx: AssignContext): Assignment[] {
-  const zones = spec.zone === null ? ctx.zones : [spec.zone];
+  const zones = eligibleZones(spec, spec.zone === null ? ctx.zones : [spec.zone], ctx.types);
   if (spec.spread && spec.tasks > 1) return spread(ctx, spec, zones);
   if (spec.oneZone) {
     const order = [...zones].sort((a, b) => capacityInZone(ctx, spec, b) - capacityInZone(ctx, spec, a));
--- a/src/flock/news.ts
+++ b/src/flock/news.ts
@@ -1,7 +1,7 @@
 /** The controllers' messages to each other: what is free, what runs, who asks for a share of a limit. */
 import * as v from 'valibot';
 import type { Core } from '../core.js';
-import { roomOn, type Machine, type Part, type Room } from '../parts/model.js';
+import { roomOn, waitingByZone, type Machine, type Part, type Room } from '../parts/model.js';
 import { usable } from '../placement/round.js';
 import type {
   ImageId,
@@ -87,8 +87,11 @@
     machines: [...shapes.values()],
   };
   // What waits for its team's limit takes no room: others may have it meanwhile.
-  for (const job of part.queue)
-    if (!part.limited.has(job.spec.team)) reserve(offer, job.spec, null, job.waiting.size);
+  // Neither does a job in its back-off, nor a task in a zone other than its own.
+  for (const job of part.queue) {
+    if (part.limited.has(job.spec.team) || now < job.notBefore) continue;
+    for (const [zone, count] of waitingByZone(job)) reserve(offer, job.spec, zone, count);
+  }
   return offer;
 }
 
--- a/src/flock/overflow.ts
+++ b/src/flock/overflow.ts
@@ -8,7 +8,8 @@
 import { Rank } from '../state/budget.js';
 import type { SteadyMs, ZoneId } from '../units.js';
 import { zoneOfPart } from './news.js';
-import { reserve, willingList } from './willing.js';
+import { chooseRepin } from './repin.js';
+import { reserve, willingList, type Offer } from './willing.js';
 
 /** Tasks rest this long with a part before they are handed on: a stale offer must not make them wander. */
 const REST = 800;
@@ -41,30 +42,65 @@
     const rest = job.spec.priority === Priority.critical ? REST_CRITICAL : REST;
     const rested = job.record.home === part.id ? 0 : rest;
     if (now - job.arrivedAt < rested || now - job.arrivedAt < 30) continue;
-    const pin = u.indices === 'all' ? null : pinOf(job, u.indices[0] as number);
-    const shape = shapeOf(job.spec, pin);
-    if (refused.has(shape)) continue;
-    const willing = willingList(others, zoneOfPart(core, part.id), job.spec, pin, now, core.random);
-    const gang = job.spec.shape === 'gang';
-    if (willing.length === 0) {
-      refused.add(shape);
-      continue;
+    const pins = u.indices === 'all' ? [null] : new Set(u.indices.map((i) => pinOf(job, i)));
+    for (const pin of pins) {
+      const choice = chooseFor(core, part, u, pin, others, refused, now);
+      if (choice) return choice;
     }
-    const same = u.indices === 'all' ? [...job.waiting] : u.indices.filter((i) => pinOf(job, i) === pin);
-    const found = gang ? willing.find((o) => o.capacity >= same.length) : willing[0];
-    if (!found || (gang && same.length < job.waiting.size)) continue;
-    const count = Math.min(found.capacity, same.length);
-    const to = found.offer.part;
-    const tasks = RangeSet.of(same.slice(0, count).map((i) => [i, i + 1] as const));
-    const value = encodeRecord(reassign(job.record, tasks, to, (was: ZoneId | null) => was));
-    // A record that has no room for another range stays here, and must not keep others from going.
-    if (Buffer.byteLength(JSON.stringify(value)) > core.settings.valueBytes) continue;
-    reserve(found.offer, job.spec, pin, count);
-    return { job, tasks, to, value };
   }
   return null;
 }
 
+/** What to do with the tasks of one job that wait for one zone: a lender that has room there, or another zone. */
+function chooseFor(
+  core: Core,
+  part: Part,
+  { job, indices }: Unplaced,
+  pin: ZoneId | null,
+  others: readonly Offer[],
+  refused: Set<string>,
+  now: SteadyMs,
+): HandOver | null {
+  const shape = shapeOf(job.spec, pin);
+  const homeZone = zoneOfPart(core, part.id);
+  const willing = refused.has(shape) ? [] : willingList(others, homeZone, job.spec, pin, now, core.random);
+  if (willing.length === 0) {
+    refused.add(shape);
+    return pin === null ? null : moveZone(core, job, pin, homeZone, now);
+  }
+  const gang = job.spec.shape === 'gang';
+  const same = indices === 'all' ? [...job.waiting] : indices.filter((i) => pinOf(job, i) === pin);
+  const found = gang ? willing.find((o) => o.capacity >= same.length) : willing[0];
+  if (!found || (gang && same.length < job.waiting.size)) return null;
+  const count = Math.min(found.capacity, same.length);
+  const tasks = RangeSet.of(same.slice(0, count).map((i) => [i, i + 1] as const));
+  return promised(core, job, tasks, found.offer, pin);
+}
+
+/** The tasks have waited for room in their zone, and no part has any there. */
+function moveZone(core: Core, job: PartJob, stuck: ZoneId, homeZone: ZoneId, now: SteadyMs): HandOver | null {
+  const { zones } = core.settings;
+  const types = [...core.types.values()];
+  const { offers, random } = core;
+  const move = chooseRepin(job, stuck, job.waitingSince, { now, homeZone, zones, types, offers, random });
+  return move && promised(core, job, move.tasks, move.offer, move.zone);
+}
+
+/** The hand-over with its record, the room taken off the offer; null: the record has no room for another range. */
+function promised(
+  core: Core,
+  job: PartJob,
+  tasks: RangeSet,
+  offer: Offer,
+  zone: ZoneId | null,
+): HandOver | null {
+  const value = encodeRecord(reassign(job.record, tasks, offer.part, () => zone));
+  // Such a job stays here, and must not keep others from going.
+  if (Buffer.byteLength(JSON.stringify(value)) > core.settings.valueBytes) return null;
+  reserve(offer, job.spec, zone, tasks.size);
+  return { job, tasks, to: offer.part, value };
+}
+
 export class Overflow {
   private readonly busy = new Set<Part['id']>();
 
--- /dev/null
+++ b/src/flock/repin.ts
@@ -0,0 +1,69 @@
+/**
+ * Moves waiting tasks of a constrained job to another zone when theirs has had no room for a while, as after the loss
+ * of a zone. Pure. Only tasks that are certainly on no machine move, in one write on condition of the record that was
+ * read, so that any subset of the job's tasks that runs stays legal.
+ */
+import type { JobSpec } from '../jobs/spec.js';
+import type { JobRecord } from '../jobs/record.js';
+import { waitingRuns, type PartJob } from '../parts/model.js';
+import { RangeSet } from '../ranges.js';
+import type { PartId, SteadyMs, ZoneId } from '../units.js';
+import { eligibleZones, type AssignContext } from './assign.js';
+import { willingList, type Offer } from './willing.js';
+
+/** How long the tasks of a job wait for room in their zone before they may move to another, in milliseconds. */
+export const REPIN_AFTER = 5000;
+
+export type RepinContext = Pick<AssignContext, 'now' | 'homeZone' | 'zones' | 'types' | 'offers' | 'random'>;
+
+export interface Repin {
+  readonly tasks: RangeSet;
+  readonly part: PartId;
+  readonly zone: ZoneId;
+  readonly offer: Offer;
+}
+
+/** Tasks that the record entrusts to each zone, the finished ones included: the strictest reading of the limit. */
+function tasksInZone(record: JobRecord, zone: ZoneId): number {
+  let count = 0;
+  for (const a of record.assignments) if (a.zone === zone) count += a.to - a.from;
+  return count;
+}
+
+/** How many more tasks the job may have in a zone. */
+function allowance(job: PartJob, zone: ZoneId): number {
+  const { spec, record } = job;
+  if (spec.spread) return Math.ceil(spec.tasks / 2) - tasksInZone(record, zone);
+  // All tasks move together or none does: none of them may be on a machine, or have been.
+  return job.waiting.size === spec.tasks ? spec.tasks : 0;
+}
+
+const mayMove = (spec: JobSpec): boolean => spec.zone === null && (spec.spread || spec.oneZone);
+
+/** The best move for the tasks that wait in `stuck`, or null: nowhere else is room that the job may use. */
+export function chooseRepin(
+  job: PartJob,
+  stuck: ZoneId,
+  waitingSince: SteadyMs | null,
+  ctx: RepinContext,
+): Repin | null {
+  const { spec } = job;
+  if (!mayMove(spec) || waitingSince === null || ctx.now - waitingSince < REPIN_AFTER) return null;
+  if (!job.moving.isEmpty || !job.frozen.isEmpty) return null;
+  const waiting = RangeSet.of(
+    waitingRuns(job)
+      .filter((run) => run.zone === stuck)
+      .map((run) => [run.from, run.to] as const),
+  );
+  let best: { zone: ZoneId; offer: Offer; count: number } | null = null;
+  for (const zone of eligibleZones(spec, ctx.zones, ctx.types)) {
+    if (zone === stuck) continue;
+    const willing = willingList(ctx.offers.values(), ctx.homeZone, spec, zone, ctx.now, ctx.random)[0];
+    if (!willing) continue;
+    const allowed = allowance(job, zone);
+    const count = Math.min(waiting.size, allowed, spec.spread ? willing.capacity : allowed);
+    if (count > (best?.count ?? 0)) best = { zone, offer: willing.offer, count };
+  }
+  if (!best) return null;
+  return { tasks: waiting.first(best.count), part: best.offer.part, zone: best.zone, offer: best.offer };
+}
--- a/src/parts/accounting.ts
+++ b/src/parts/accounting.ts
@@ -1,6 +1,7 @@
 /**
  * After a claim a task that was not seen may be on any machine of the part that has not spoken since. Once none is left
- * on which its job allows it, it is on none: the rules say where it could have been started, and pins never change.
+ * on which its job allows it, it is on none: the rules say where it could have been started, and a pin changes
+ * only while its task is certainly on no machine (`flock/repin.ts`).
  */
 import { allowed } from '../placement/round.js';
 import { RangeSet } from '../ranges.js';
--- a/src/parts/model.ts
+++ b/src/parts/model.ts
@@ -1,7 +1,7 @@
 /** What the owner of a part holds in memory: its machines, what is bound to them, and the tasks entrusted to it. */
 import type { MachineType } from '../cloud/wire.js';
 import { Priority, type JobSpec } from '../jobs/spec.js';
-import { assignedTo, zoneOf, type JobRecord } from '../jobs/record.js';
+import { assignedTo, zoneOf, type Assignment, type JobRecord } from '../jobs/record.js';
 import { RangeSet } from '../ranges.js';
 import type {
   Address,
@@ -361,6 +361,36 @@
 
 export const pinOf = (job: PartJob, index: number): ZoneId | null => zoneOf(job.record, index);
 
+/** Consecutive waiting tasks [from, to) that must be in the same zone; `zone` null: no restriction by the record. */
+export interface WaitingRun {
+  readonly from: number;
+  readonly to: number;
+  readonly zone: ZoneId | null;
+}
+
+/** The waiting tasks of a job as runs, in the order of their numbers. */
+export function waitingRuns(job: PartJob): WaitingRun[] {
+  const out: WaitingRun[] = [];
+  const { assignments } = job.record;
+  let next = 0;
+  for (const [from, to] of job.waiting.ranges()) {
+    while (next < assignments.length && (assignments[next] as Assignment).to <= from) next += 1;
+    for (let i = next; i < assignments.length; i += 1) {
+      const a = assignments[i] as Assignment;
+      if (a.from >= to) break;
+      out.push({ from: Math.max(from, a.from), to: Math.min(to, a.to), zone: a.zone });
+    }
+  }
+  return out;
+}
+
+/** How many tasks of a job wait for each zone. */
+export function waitingByZone(job: PartJob): Map<ZoneId | null, number> {
+  const out = new Map<ZoneId | null, number>();
+  for (const { from, to, zone } of waitingRuns(job)) out.set(zone, (out.get(zone) ?? 0) + to - from);
+  return out;
+}
+
 export function newMachine(
   id: MachineId,
   address: Address,
--- a/src/placement/plan.ts
+++ b/src/placement/plan.ts
@@ -3,7 +3,15 @@
  * without room. Pure: it reads the part and returns decisions.
  */
 import { Priority, type JobSpec } from '../jobs/spec.js';
-import { pinOf, type Binding, type Machine, type Part, type PartJob, type Room } from '../parts/model.js';
+import {
+  pinOf,
+  waitingRuns,
+  type Binding,
+  type Machine,
+  type Part,
+  type PartJob,
+  type Room,
+} from '../parts/model.js';
 import type { ZoneId } from '../units.js';
 import { compareKeys, Places } from './places.js';
 import {
@@ -116,13 +124,14 @@
   let limited = false;
   const holds = plan.holds.length;
   const pinned = job.record.assignments.some((a) => a.zone !== null);
-  for (const index of job.waiting) {
+  const shown = new Map<ZoneId | null, number>();
+  for (const index of runsToTry(job, shown)) {
     if (!pinned && job.holds.size === 0 && plan.holds.length === holds && (hopeless.size > 0 || limited)) {
       // What holds for one task of the job holds for all.
       plan.unplaced.push({ job, reason: limited ? 'limit' : 'room', indices: 'all' });
       return;
     }
-    if (noRoom.length + noLimit.length >= UNPLACED_SHOWN || plan.starts.length >= MAX_STARTS) break;
+    if (noLimit.length >= UNPLACED_SHOWN || plan.starts.length >= MAX_STARTS) break;
     if (!withinShare(job.spec, s, ctx)) {
       noLimit.push(index);
       if (job.spec.priority === Priority.critical) makeShare(part, job, noLimit.length, s, ctx, plan);
@@ -161,11 +170,18 @@
       hopeless.add(pin);
     }
     noRoom.push(index);
+    shown.set(pin, (shown.get(pin) ?? 0) + 1);
   }
   if (noRoom.length > 0) plan.unplaced.push({ job, reason: 'room', indices: noRoom });
   if (noLimit.length > 0) plan.unplaced.push({ job, reason: 'limit', indices: noLimit });
 }
 
+/** The waiting tasks of a job, less the rest of those whose zone has shown that it has no room for many of them. */
+function* runsToTry(job: PartJob, shown: ReadonlyMap<ZoneId | null, number>): Generator<number> {
+  for (const { from, to, zone } of waitingRuns(job))
+    for (let index = from; index < to && (shown.get(zone) ?? 0) < UNPLACED_SHOWN; index += 1) yield index;
+}
+
 /** A team at its limit: its critical tasks get what its own lesser work uses. */
 function makeShare(part: Part, job: PartJob, count: number, s: Scratch, ctx: PlanContext, plan: Plan): void {
   const { spec } = job;
--- /dev/null
+++ b/test/waiting.test.ts
@@ -0,0 +1,212 @@
+/** No job is left waiting while a machine that fits has room and its team is under its limit. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { MachineType } from '../src/cloud/wire.js';
+import type { Core } from '../src/core.js';
+import { assignJob, type AssignContext } from '../src/flock/assign.js';
+import { offerOf } from '../src/flock/news.js';
+import { chooseHandOver } from '../src/flock/overflow.js';
+import { chooseRepin, REPIN_AFTER } from '../src/flock/repin.js';
+import { capacityFor, seededRandom, type Offer } from '../src/flock/willing.js';
+import { newMachine, Part, syncJob, type PartJob } from '../src/parts/model.js';
+import { planRound } from '../src/placement/plan.js';
+import type { PlanContext } from '../src/placement/round.js';
+import { RangeSet } from '../src/ranges.js';
+import type { PartId, SteadyMs, ZoneId } from '../src/units.js';
+import { IdleWatch } from './standins/idle-watch.js';
+import { plainSpec } from './standins/spec.js';
+import { World, type JobOptions } from './standins/world.js';
+
+const NOW = 1_000_000 as SteadyMs;
+const EAST = 'east' as ZoneId;
+const WEST = 'west' as ZoneId;
+/** What the task says: a job may be left waiting no longer than this, in milliseconds. */
+const LEFT_WAITING = 90_000;
+
+const typeIn = (name: string, ...zones: string[]): MachineType =>
+  ({ name, cpus: 8, gpus: 0, memoryGb: 64, zones }) as unknown as MachineType;
+const TYPES = new Map([['large', typeIn('large', 'east', 'west')]]) as never;
+
+const offer = (part: number, zone: string, cpus: number): Offer => {
+  const machines =
+    cpus > 0 ? [{ type: 'large', zone, spot: false, cpus, gpus: 0, memoryGb: 64, count: 1 }] : [];
+  return { part, zone, expires: NOW + 9000, machines } as unknown as Offer;
+};
+
+/** A part in the east with so many machines there, and one job whose tasks are entrusted as given. */
+function partWith(
+  machines: number,
+  spec: Parameters<typeof plainSpec>[0],
+  assignments: readonly (readonly [number, number, number, string | null])[],
+): { part: Part; job: PartJob } {
+  const part = new Part(0 as PartId, 1 as never, 1 as never, 0 as SteadyMs, TYPES);
+  part.accounted = true;
+  for (let i = 0; i < machines; i += 1) {
+    const m = newMachine(`m-${i}` as never, '' as never, 'large' as never, EAST, false, 0 as never, true);
+    m.lastHeard = NOW;
+    part.add(m);
+  }
+  const record = {
+    spec: plainSpec(spec),
+    home: 0,
+    assignments: assignments.map(([from, to, owner, zone]) => ({ from, to, part: owner, zone })),
+    done: RangeSet.empty(),
+  } as never;
+  syncJob(part, record, 1 as never, 0 as SteadyMs, false);
+  return { part, job: [...part.jobs.values()][0] as PartJob };
+}
+
+const core = (offers: readonly Offer[]): Core =>
+  ({
+    settings: { parts: [], zone: EAST, zones: [EAST, WEST], valueBytes: 4000 },
+    tuning: { announceExpiry: 10_000 },
+    clock: { now: () => NOW },
+    reportMs: 1500,
+    types: TYPES,
+    offers: new Map(offers.map((o) => [o.part, o])),
+    random: seededRandom(1),
+  }) as unknown as Core;
+
+test('tasks are pinned only to zones in which the cloud has machines that can take them', () => {
+  const types = [typeIn('common', 'east', 'west'), typeIn('rare', 'west')];
+  const ctx = {
+    now: NOW,
+    home: 0,
+    homeZone: EAST,
+    parts: [
+      { part: 0, zone: EAST },
+      { part: 1, zone: WEST },
+    ],
+    zones: [EAST, WEST],
+    types,
+    offers: new Map(),
+    ready: new Map(),
+    random: seededRandom(1),
+  } as unknown as AssignContext;
+  const together = assignJob(plainSpec({ tasks: 4, oneZone: true, types: ['rare'] }), ctx);
+  assert.deepEqual(together, [{ from: 0, to: 4, part: 1, zone: WEST }]);
+  const apart = assignJob(plainSpec({ tasks: 4, spread: true, types: ['rare'] }), ctx);
+  assert.deepEqual(
+    apart.map((a) => [a.from, a.to, a.zone]),
+    [
+      [0, 2, WEST],
+      [2, 4, ''],
+    ],
+  );
+});
+
+test('many tasks that wait for a zone without room keep no task from starting in the other', () => {
+  const { part } = partWith(2, { tasks: 600, spread: true }, [
+    [0, 300, 0, 'west'],
+    [300, 600, 0, 'east'],
+  ]);
+  const ctx = {
+    now: NOW,
+    types: TYPES,
+    teams: new Map(),
+    share: () => ({ cpus: 2000, gpus: 0 }),
+    usedElsewhere: () => 0,
+    guaranteed: () => false,
+    peerHasRoom: () => false,
+    latest: () => 1,
+    correction: () => 1,
+    reportMs: 1500,
+  } as unknown as PlanContext;
+  const plan = planRound(part, ctx);
+  assert.deepEqual(
+    plan.starts.map((s) => s.index),
+    [300, 301, 302, 303, 304, 305, 306, 307],
+  );
+  const shown = plan.unplaced.flatMap((u) => (u.indices === 'all' ? [] : u.indices));
+  assert.ok(shown.some((i) => i < 300) && shown.some((i) => i >= 300), 'both zones are asked for elsewhere');
+});
+
+test('tasks for which no peer has room in their zone keep no others of the job from being handed over', () => {
+  const { part, job } = partWith(0, { tasks: 4, spread: true }, [
+    [0, 2, 0, 'east'],
+    [2, 4, 0, 'west'],
+  ]);
+  const unplaced = [{ job, reason: 'room' as const, indices: [0, 1, 2, 3] }];
+  const choice = chooseHandOver(core([offer(1, 'west', 8)]), part, unplaced, NOW);
+  assert.deepEqual(choice?.tasks.ranges(), [[2, 4]]);
+  assert.equal(choice.to, 1);
+});
+
+test('what waits here for another zone, or backs off, does not hide this part’s room from peers', () => {
+  const ask = plainSpec({ id: 'req-2' });
+  const elsewhere = partWith(2, { tasks: 50, spread: true }, [[0, 50, 0, 'west']]);
+  assert.equal(capacityFor(offerOf(core([]), elsewhere.part), ask, null), 8);
+  const here = partWith(2, { tasks: 50, spread: true }, [[0, 50, 0, 'east']]);
+  assert.equal(capacityFor(offerOf(core([]), here.part), ask, null), 0);
+  here.job.notBefore = (NOW + 20_000) as SteadyMs;
+  assert.equal(capacityFor(offerOf(core([]), here.part), ask, null), 8);
+});
+
+test('waiting tasks change their zone only where the job may have more, none is running, and after a while', () => {
+  const ctx = (...offers: Offer[]): Parameters<typeof chooseRepin>[3] => ({
+    now: NOW,
+    homeZone: EAST,
+    zones: [EAST, WEST],
+    types: [typeIn('large', 'east', 'west')],
+    offers: new Map(offers.map((o) => [o.part, o])),
+    random: seededRandom(1),
+  });
+  const since = (NOW - REPIN_AFTER) as SteadyMs;
+  const east = ctx(offer(0, 'east', 8));
+  const apart = partWith(0, { tasks: 3, spread: true }, [
+    [0, 2, 0, 'west'],
+    [2, 3, 0, 'east'],
+  ]).job;
+  const moved = chooseRepin(apart, WEST, since, east);
+  assert.deepEqual([moved?.tasks.ranges(), moved?.zone, moved?.part], [[[0, 1]], EAST, 0]);
+  assert.equal(chooseRepin(apart, WEST, (NOW - 100) as SteadyMs, east), null, 'its zone may have room soon');
+  assert.equal(chooseRepin(apart, WEST, since, ctx(offer(0, 'east', 1))), null, 'no room there');
+  apart.waiting.removeRange(0, 2);
+  assert.equal(chooseRepin(apart, WEST, since, east), null, 'on a machine, or perhaps');
+  const full = partWith(0, { tasks: 4, spread: true }, [
+    [0, 2, 0, 'west'],
+    [2, 4, 1, 'east'],
+  ]).job;
+  assert.equal(chooseRepin(full, WEST, since, east), null, 'half of the tasks belong there already');
+  const together = partWith(0, { tasks: 3, oneZone: true }, [[0, 3, 0, 'west']]).job;
+  assert.deepEqual(chooseRepin(together, WEST, since, east)?.tasks.ranges(), [[0, 3]]);
+  together.waiting.remove(1);
+  assert.equal(chooseRepin(together, WEST, since, east), null, 'one runs: the others stay with it');
+  const bound = partWith(0, { tasks: 3, oneZone: true, zone: 'west' }, [[0, 3, 0, 'west']]).job;
+  assert.equal(chooseRepin(bound, WEST, since, east), null, 'the owner named the zone');
+});
+
+async function worldWith(...zones: string[]): Promise<World> {
+  const w = new World();
+  for (const zone of zones) w.addWorker('large', zone);
+  await w.start();
+  return w;
+}
+
+const runs = (w: World, id: string): number =>
+  [...w.workers.values()].flatMap((m) => m.active()).filter((t) => t.leg.startsWith(`${id}/`)).length;
+
+/** Submits a job whose tasks must all be in one zone. */
+const submitTogether = (w: World, n: number, id: string, o: JobOptions): Promise<unknown> =>
+  w.ask(n, 'POST', '/v2/runs', { ...w.submission(id, o), samePlace: true });
+
+for (const killOwner of [false, true]) {
+  const how = killOwner ? 'with its controller' : 'alone';
+  test(`a zone's machines are lost ${how}: what may run in the other zone does, and nothing waits there`, async () => {
+    const w = await worldWith('west', 'west', 'west', 'east', 'east');
+    await w.submit(0, 'req-1', { service: true, tasks: 3, spread: true });
+    await submitTogether(w, 1, 'req-2', { tasks: 2, runMs: 200_000 });
+    await w.submit(2, 'req-3', { tasks: 3, runMs: 200_000 });
+    await w.step(6000);
+    assert.equal(runs(w, 'req-1'), 3);
+    for (const m of [...w.workers.values()]) if (m.zone === 'west') w.removeWorker(m.id, 'lost');
+    if (killOwner) w.killNode(1);
+    const watch = new IdleWatch(w, new Set(['req-2']));
+    await watch.step(150_000);
+    assert.deepEqual(w.broken, []);
+    assert.equal(runs(w, 'req-1'), 2, 'half of three, rounded up, may be in the east');
+    assert.equal(runs(w, 'req-2'), 2);
+    assert.equal(runs(w, 'req-3'), 3);
+    assert.ok(watch.longest < LEFT_WAITING, `${watch.longestJob} waited ${watch.longest} ms for nothing`);
+  });
+}
