--- a/test/standins/worker.ts
+++ b/test/standins/worker.ts
@@ -11,7 +11,7 @@
   ends: { cancel(): void } | null;
 }
 
-interface Order {
+export interface Order {
   order: 'launch' | 'kill' | 'clear';
   leg: string;
   sailing: number;
@@ -33,6 +33,7 @@
   readonly report: (node: number, from: WorkerStandin, body: unknown) => Promise<Answer | null>;
   readonly nodes: readonly string[];
   readonly job: (leg: string) => JobFacts | null;
+  readonly executed: (from: WorkerStandin, order: Order) => void;
   readonly trace: (line: string) => void;
 }
 
@@ -147,6 +148,11 @@
   }
 
   private execute(o: Order): void {
+    this.carryOut(o);
+    this.world.executed(this, o);
+  }
+
+  private carryOut(o: Order): void {
     const known = this.tasks.get(o.leg);
     if (o.order === 'launch') {
       if (known?.sailing === o.sailing) return;
--- a/test/standins/world.ts
+++ b/test/standins/world.ts
@@ -8,7 +8,7 @@
 import { SimClock, settle } from './clock.js';
 import { frame } from '../../src/mesh/mesh.js';
 import { Meter, StateStandin, type Limits } from './state.js';
-import { WorkerStandin, type JobFacts, type WorkerWorld } from './worker.js';
+import { WorkerStandin, type JobFacts, type Order, type WorkerWorld } from './worker.js';
 
 /** The size of a deployment, and the limits that hold there. */
 export interface Shape {
@@ -135,7 +135,18 @@
   /** What reports of a machine were answered with. */
   readonly answered = new Map<string, number[]>();
   /** Direct orders that get no answer and arrive this much later. */
-  holdOrders: (node: number, worker: string) => number | null = () => null;
+  holdOrders: (node: number, worker: string, call: Call) => number | null = () => null;
+  /** Direct orders that are executed at once, and whose answer does not arrive. */
+  loseAnswer: (node: number, worker: string, call: Call) => boolean = () => false;
+  /** Called when a worker has executed an order, however it came. */
+  onOrder: (worker: WorkerStandin, order: Order) => void = () => undefined;
+  /** Run times of single tasks that differ from their job's. */
+  readonly taskRunMs = new Map<string, number>();
+  /** Whether a hanging machine takes direct orders and executes them when it goes on. */
+  hangingKeepsOrders = false;
+  private readonly keptOrders = new Map<string, Call[]>();
+  /** One way between a controller and a worker, in milliseconds. */
+  linkMs = 1;
   cloudOutage = false;
   capacity = 0;
   rentals: unknown[] = [];
@@ -241,15 +252,35 @@
 
   private async callOnce(n: number, address: string, call: Call): Promise<Outcome> {
     const worker = this.workers.get(this.byAddress.get(address) ?? '');
-    await this.clock.sleep(1);
-    const hold = worker ? this.holdOrders(n, worker.id) : null;
+    await this.clock.sleep(this.linkMs);
+    const hold = worker ? this.holdOrders(n, worker.id, call) : null;
+    if (worker?.hanging && this.hangingKeepsOrders) {
+      this.keptOrders.set(worker.id, [...(this.keptOrders.get(worker.id) ?? []), call]);
+      await this.clock.sleep(call.timeout);
+      return { kind: 'unknown' };
+    }
     const unreached = !worker || worker.hanging || this.deaf.has(worker.id) || this.cut(`n${n}`, worker.id);
     if (unreached || hold !== null) {
       if (hold !== null) this.clock.after(hold, () => worker?.arrive(call));
       await this.clock.sleep(call.timeout);
       return hold === null ? { kind: 'unsent' } : { kind: 'unknown' };
     }
-    return worker.arrive(call);
+    const answer = worker.arrive(call);
+    if (this.loseAnswer(n, worker.id, call)) {
+      await this.clock.sleep(call.timeout);
+      return { kind: 'unknown' };
+    }
+    if (this.linkMs > 1) await this.clock.sleep(this.linkMs);
+    return answer;
+  }
+
+  /** A machine that hung goes on, within its lease or not; what was sent to it meanwhile is executed first. */
+  resume(id: string): void {
+    const worker = this.workers.get(id);
+    if (!worker) return;
+    worker.hanging = false;
+    for (const call of this.keptOrders.get(id) ?? []) worker.arrive(call);
+    this.keptOrders.delete(id);
   }
 
   private async cloudCall(call: Call): Promise<Outcome> {
@@ -323,7 +354,8 @@
       leaseMs: this.shape.leaseS * 1000,
       nodes: this.nodes.map((_, n) => `n${n}`),
       report: (n, from, body) => this.reportTo(n, from, body),
-      job: (leg) => this.jobs.get(leg.split('/')[0] ?? '') ?? null,
+      job: (leg) => this.factsOf(leg),
+      executed: (from, order) => this.onOrder(from, order),
       trace: (line) => this.trace(line),
     };
     const cpus = type === 'large' ? 8 : 4;
@@ -332,6 +364,12 @@
     this.workers.set(id, new WorkerStandin(id, address, type, zone, spot, cpus, world));
   }
 
+  private factsOf(leg: string): JobFacts | null {
+    const job = this.jobs.get(leg.split('/')[0] ?? '');
+    const runMs = this.taskRunMs.get(leg);
+    return job ? { ...job, runMs: runMs ?? job.runMs } : null;
+  }
+
   addWorker(type: string, zone: string, spot = false): string {
     const id = this.nextMachine();
     this.boot(id, type, zone, spot);
@@ -347,7 +385,7 @@
   }
 
   private async reportTo(n: number, from: WorkerStandin, body: unknown): Promise<Answer | null> {
-    await this.clock.sleep(1);
+    await this.clock.sleep(this.linkMs);
     const node = this.nodes[n] as Node;
     if (this.cut(`n${n}`, from.id) || this.mute.has(from.id)) return null;
     if (this.shape.copies) this.sent.set(from.id, [...(this.sent.get(from.id) ?? []), body as object]);
