Jobs: submission, lookups, cancellation and the cache of final states are modules of their own

The modules take narrow interfaces (dependencies.ts: ActiveJobs, JobStore, JobView, StateAccess, Timers) in place of Core; only admission.ts still names it. No change of behaviour.

--- /dev/null
+++ b/src/jobs/cancellation.ts
@@ -0,0 +1,63 @@
+/** Cancels jobs: one transaction drops the record and writes the final state. */
+import type { Answer } from '../http/server.js';
+import type { Log } from '../log.js';
+import { Rank } from '../state/budget.js';
+import type { JobId, Revision } from '../units.js';
+import { NO_REVISION } from '../units.js';
+import type { ActiveJobs, StateAccess } from './dependencies.js';
+import type { FinalStateCache } from './final-states.js';
+import type { JobReader } from './lookup.js';
+import { encodeFinal, finalKey, liveKey } from './record.js';
+import { accepted, NOT_FOUND, UNAVAILABLE } from './responses.js';
+
+/** How often a cancellation is tried when the record changes under it or an outcome is unknown. */
+const MAX_TRIES = 5;
+
+/** Answers users' requests to cancel a job. */
+export class JobCancellation {
+  constructor(
+    private readonly access: StateAccess,
+    private readonly activeJobs: ActiveJobs,
+    private readonly finalStates: FinalStateCache,
+    private readonly reader: JobReader,
+    private readonly log: Log,
+  ) {}
+
+  /** 200 only once the final state is committed, also when the job had ended before. */
+  async cancel(id: JobId): Promise<Answer> {
+    for (let i = 0; i < MAX_TRIES; i += 1) {
+      const viewed = this.activeJobs.has(id) && i === 0;
+      const version = viewed ? this.access.view.version(liveKey(id)) : NO_REVISION;
+      const answer =
+        version === NO_REVISION ? await this.readAndCancel(id) : await this.cancelAt(id, version);
+      if (answer) return answer;
+    }
+    return UNAVAILABLE;
+  }
+
+  private async readAndCancel(id: JobId): Promise<Answer | null> {
+    const lookup = await this.reader.read(id);
+    if (lookup.kind === 'unknown') return UNAVAILABLE;
+    if (lookup.kind === 'absent') return NOT_FOUND;
+    if (lookup.kind === 'ended') return accepted(id, lookup.state);
+    return this.cancelAt(id, this.access.view.version(liveKey(id)));
+  }
+
+  /** null: the record has changed since that version, or the outcome is unknown. */
+  private async cancelAt(id: JobId, version: Revision): Promise<Answer | null> {
+    const result = await this.access.state.txn(
+      [{ key: liveKey(id), version }],
+      [
+        { op: 'drop', key: liveKey(id) },
+        { op: 'put', key: finalKey(id), value: encodeFinal('cancelled') },
+      ],
+      Rank.abort,
+    );
+    if (result.kind === 'conflict' || result.kind === 'unknown') return null;
+    if (result.kind === 'refused') return UNAVAILABLE;
+    this.finalStates.remember(id, 'cancelled');
+    await this.access.exclusive(() => this.access.view.learn(liveKey(id), undefined, result.revision));
+    this.log.info({ job: id }, 'job cancelled');
+    return accepted(id, 'cancelled');
+  }
+}
--- /dev/null
+++ b/src/jobs/dependencies.ts
@@ -0,0 +1,54 @@
+/**
+ * What the job slice uses of the rest of the controller, as narrow interfaces. The controller passes its own objects:
+ * nothing in this folder depends on the class that holds them all.
+ */
+import type { ReadResult, TxnResult } from '../state/client.js';
+import type { Rank } from '../state/budget.js';
+import type { Change, Condition } from '../state/wire.js';
+import type { Clock, JobId, Millis, Revision, StateKey, SteadyMs } from '../units.js';
+import type { JobRecord } from './record.js';
+
+/** Jobs that are not over, by this controller's latest view of the state service. */
+export type ActiveJobs = Pick<ReadonlyMap<JobId, JobRecord>, 'get' | 'has'>;
+
+/** The client of the state service, as far as jobs need it. */
+export interface JobStore {
+  /** This controller's share of the request limit, in requests a second. */
+  readonly requestRate: number;
+  /** How long a submission would wait for its turn in the request budget. */
+  readonly submitWait: Millis;
+  /** Reads one key from the store, not from the view. */
+  get(key: StateKey, rank: Rank): Promise<ReadResult>;
+  /** Applies the changes if every condition holds, and otherwise nothing. */
+  txn(conditions: readonly Condition[], changes: readonly Change[], rank: Rank): Promise<TxnResult>;
+}
+
+/** This controller's copy of what the state service holds. It may be behind the store. */
+export interface JobView {
+  /** The first complete list has been read. */
+  readonly loaded: boolean;
+  /** A time at which nothing newer existed than the view shows. */
+  readonly confirmed: SteadyMs;
+  /** The store's revision that the view has reached. */
+  readonly revision: Revision;
+  /** The version a key was last seen at; `NO_REVISION` when it is absent. */
+  version(key: StateKey): Revision;
+  /** Takes in a fact from a read or a committed write; `undefined` when the key was dropped. */
+  learn(key: StateKey, value: unknown, version: Revision): void;
+}
+
+/** Access to the state service and to the state that all slices share. */
+export interface StateAccess {
+  readonly state: JobStore;
+  readonly view: JobView;
+  /** False while the state service does not answer this controller. */
+  readonly stateHealthy: () => boolean;
+  /** Runs a short change of shared state under the lock, without I/O. */
+  exclusive<T>(work: () => T): Promise<T>;
+}
+
+/** The steady clock and its timers. */
+export interface Timers {
+  readonly clock: Clock;
+  sleep(delay: Millis): Promise<void>;
+}
--- /dev/null
+++ b/src/jobs/responses.ts
@@ -0,0 +1,37 @@
+/** The answers to users' requests. */
+import type { Answer } from '../http/server.js';
+import type { JobId } from '../units.js';
+import { encodeAccepted, encodeStatus, type JobStatus } from './wire.js';
+
+const MAX_RETRY_AFTER_S = 30;
+
+/** 503: the state service did not answer, so nothing certain can be said now. */
+export const UNAVAILABLE: Answer = {
+  status: 503,
+  body: { error: 'state service not available, try again' },
+  retryAfterS: 1,
+};
+
+/** 404: there is no such job. */
+export const NOT_FOUND: Answer = { status: 404, body: { error: 'no such job' } };
+
+/** 503 that says when the user's turn can come; `waitMs` is the expected wait in milliseconds. */
+export function unavailableFor(waitMs: number): Answer {
+  const wait = Math.ceil(waitMs / 1000);
+  return { ...UNAVAILABLE, retryAfterS: Math.min(MAX_RETRY_AFTER_S, Math.max(1, wait)) };
+}
+
+/** A request that is refused for what it asks. */
+export const rejected = (status: 400 | 422, error: string): Answer => ({ status, body: { error } });
+
+/** 201: the job has been created by this request. */
+export const created = (id: JobId): Answer => ({ status: 201, body: encodeAccepted(id, 'pending') });
+
+/** 200: the job exists, in this state. */
+export const accepted = (id: JobId, state: JobStatus['state']): Answer => ({
+  status: 200,
+  body: encodeAccepted(id, state),
+});
+
+/** 200 to a status question. */
+export const statusAnswer = (status: JobStatus): Answer => ({ status: 200, body: encodeStatus(status) });
--- /dev/null
+++ b/src/jobs/submission.ts
@@ -0,0 +1,106 @@
+/** Takes submissions: validates, looks for an existing job of that id, judges admission, and creates the job. */
+import type { MachineType } from '../cloud/wire.js';
+import type { Answer } from '../http/server.js';
+import type { Log } from '../log.js';
+import { RangeSet } from '../ranges.js';
+import type { Settings } from '../settings/settings.js';
+import { Rank } from '../state/budget.js';
+import type { Clock, JobId, SharedMs, SteadyMs, TypeId } from '../units.js';
+import { NO_REVISION } from '../units.js';
+import { impossible } from './admission.js';
+import type { ActiveJobs, StateAccess } from './dependencies.js';
+import type { FinalStateCache } from './final-states.js';
+import type { LookupBatcher } from './lookup-batcher.js';
+import type { JobLookup } from './lookup.js';
+import { encodeRecord, finalKey, liveKey, recordBytes, type Assignment, type JobRecord } from './record.js';
+import { accepted, created, rejected, UNAVAILABLE, unavailableFor } from './responses.js';
+import type { JobSpec } from './spec.js';
+import { activeStatus, type TaskSources } from './status.js';
+import { decodeSubmission } from './wire.js';
+
+/** What a submission is judged by, besides the state service. */
+export interface SubmissionContext extends StateAccess, TaskSources {
+  readonly settings: Settings;
+  /** The cloud's catalog; empty while it is not known yet. */
+  readonly types: ReadonlyMap<TypeId, MachineType>;
+  readonly clock: Clock;
+  /** The time that the controllers count together. */
+  readonly time: { now(now: SteadyMs): SharedMs };
+  readonly log: Log;
+}
+
+/** Answers users' submissions. */
+export class JobSubmission {
+  constructor(
+    private readonly context: SubmissionContext,
+    private readonly activeJobs: ActiveJobs,
+    private readonly finalStates: FinalStateCache,
+    private readonly lookups: LookupBatcher,
+    /** Where a new job's tasks go first. */
+    private readonly assign: (spec: JobSpec) => Assignment[],
+  ) {}
+
+  /** 201 once the job is committed, 200 for a job that exists, and otherwise why it was not taken. */
+  async submit(body: Buffer): Promise<Answer> {
+    const submission = decodeSubmission(body);
+    if (submission.kind === 'malformed') return this.reject(submission.id, 400, submission.error);
+    const spec = submission.spec;
+    const final = this.finalStates.get(spec.id);
+    if (final) return accepted(spec.id, final);
+    const { view, types } = this.context;
+    if (!view.loaded || types.size === 0 || !this.context.stateHealthy()) return UNAVAILABLE;
+    if (this.activeJobs.has(spec.id)) return this.existingJob(spec.id);
+    const why = impossible(spec, types.values(), this.context);
+    if (why !== null) return this.reject(spec.id, 422, why);
+    return this.create(spec);
+  }
+
+  /** An existing job is never refused, whatever the body says now. */
+  private async reject(id: JobId | null, status: 400 | 422, error: string): Promise<Answer> {
+    if (id === null) return rejected(status, error);
+    const lookup = await this.lookups.lookUp(id);
+    if (lookup.kind === 'absent') return rejected(status, error);
+    return this.answerFor(id, lookup);
+  }
+
+  private async existingJob(id: JobId): Promise<Answer> {
+    const lookup = await this.lookups.lookUp(id);
+    return lookup.kind === 'absent' ? UNAVAILABLE : this.answerFor(id, lookup);
+  }
+
+  private answerFor(id: JobId, lookup: JobLookup): Answer {
+    if (lookup.kind === 'unknown' || lookup.kind === 'absent') return UNAVAILABLE;
+    if (lookup.kind === 'ended') return accepted(id, lookup.state);
+    return accepted(id, activeStatus(id, lookup.record, this.context).state);
+  }
+
+  private newRecord(spec: JobSpec): JobRecord {
+    const { settings, view, time, clock } = this.context;
+    return {
+      spec,
+      home: settings.part,
+      born: view.revision,
+      accepted: time.now(clock.now()),
+      assignments: this.assign(spec),
+      done: RangeSet.empty(),
+    };
+  }
+
+  private async create(spec: JobSpec): Promise<Answer> {
+    const { state, view, settings, log } = this.context;
+    const record = this.newRecord(spec);
+    if (recordBytes(record) > settings.valueBytes) return rejected(400, 'the description is too long');
+    const value = encodeRecord(record);
+    const conditions = [liveKey(spec.id), finalKey(spec.id)].map((key) => ({ key, version: NO_REVISION }));
+    const change = { op: 'put', key: liveKey(spec.id), value } as const;
+    let result = await state.txn(conditions, [change], Rank.submit);
+    // Outcome unknown: a second try either creates the job or shows that it stands.
+    if (result.kind === 'unknown') result = await state.txn(conditions, [change], Rank.submit);
+    if (result.kind === 'conflict') return this.existingJob(spec.id);
+    if (result.kind !== 'done') return unavailableFor(state.submitWait);
+    const revision = result.revision;
+    await this.context.exclusive(() => view.learn(change.key, value, revision));
+    log.info({ job: spec.id, team: spec.team, tasks: spec.tasks, shape: spec.shape }, 'job accepted');
+    return created(spec.id);
+  }
+}
