Jobs: shared time and progress take narrow interfaces; the import circle with core is gone

core.ts imported jobs/age.ts for SharedTime, and jobs/age.ts imported core.ts for the type Core. The writers of the shared time and of progress now say what they use (TimeKeeperContext, ProgressContext, Authority); Core fits them. Names: gap -> interval, Due -> PendingWrite, more -> finished, constants with their units; doc comments. No change of behaviour.

--- a/src/jobs/age.ts
+++ b/src/jobs/age.ts
@@ -3,66 +3,80 @@
  * between processes, so the controllers count time together: one of them writes the count every few seconds, and each
  * goes on from there by its own clock. While no controller runs, nothing is counted.
  */
-import type { Core } from '../core.js';
 import { aliveKey, TIME_KEY } from '../parts/records.js';
+import type { Settings } from '../settings/settings.js';
 import { Rank } from '../state/budget.js';
-import type { Millis, SharedMs, SteadyMs } from '../units.js';
+import type { Clock, Millis, SharedMs, SteadyMs } from '../units.js';
 import { millis, steady } from '../units.js';
+import type { Authority, StateAccess } from './dependencies.js';
 
-const WRITE_GAP = 5000;
+/** The count is written this often, in milliseconds. */
+const WRITE_INTERVAL_MS = 5000;
 
+/** The count as this controller knows it, continued by its own clock. */
 export class SharedTime {
-  private known: { readonly count: number; readonly at: SteadyMs } | null = null;
+  private latest: { readonly count: number; readonly at: SteadyMs } | null = null;
 
   /** The count has reached this: read from the state service, or from a job that was accepted then. */
   reached(count: number, now: SteadyMs): void {
-    if (!Number.isFinite(count) || (this.known && this.now(now) >= count)) return;
-    this.known = { count, at: now };
+    if (!Number.isFinite(count) || (this.latest && this.now(now) >= count)) return;
+    this.latest = { count, at: now };
   }
 
+  /** The count at a time of this process's clock. */
   now(now: SteadyMs): SharedMs {
-    this.known ??= { count: 0, at: now };
-    return Math.max(0, Math.round(this.known.count + now - this.known.at)) as SharedMs;
+    this.latest ??= { count: 0, at: now };
+    return Math.max(0, Math.round(this.latest.count + now - this.latest.at)) as SharedMs;
   }
 
-  /** Records of earlier versions do not say when they came. */
+  /** How long ago a job was accepted; 0 for records of earlier versions, which do not say when they came. */
   age(accepted: SharedMs | null, now: SteadyMs): Millis {
     return accepted === null ? millis(0) : millis(Math.max(0, this.now(now) - accepted));
   }
 }
 
+/** The count in the value of `TIME_KEY`, in milliseconds; NaN when it cannot be read. */
 export const decodeTime = (value: unknown): number =>
   Number((value as { ms?: unknown } | null | undefined)?.ms ?? NaN);
 
+/** What the writer of the count uses of the controller. */
+export interface TimeKeeperContext extends StateAccess, Authority {
+  readonly clock: Clock;
+  readonly time: SharedTime;
+  readonly settings: Pick<Settings, 'node' | 'parts'>;
+}
+
 /** Writes the count: the first of the controllers that are alive does, on condition that nobody else has. */
 export class TimeKeeper {
-  private last = steady(-1e12);
+  private lastWrite = steady(-1e12);
 
-  constructor(private readonly core: Core) {}
+  constructor(private readonly context: TimeKeeperContext) {}
 
+  /** Called every few hundred milliseconds. */
   tick(): void {
-    const { core } = this;
-    const now = core.clock.now();
-    if (!core.authority(now) || !core.stateHealthy() || now - this.last < WRITE_GAP || !this.isFirst())
-      return;
-    this.last = now;
-    void this.write({ ms: core.time.now(now) });
+    const { context } = this;
+    const now = context.clock.now();
+    if (!context.authority(now) || !context.stateHealthy()) return;
+    if (now - this.lastWrite < WRITE_INTERVAL_MS || !this.isFirst()) return;
+    this.lastWrite = now;
+    void this.write({ ms: context.time.now(now) });
   }
 
   private async write(value: { ms: SharedMs }): Promise<void> {
-    const { core } = this;
-    const version = core.view.version(TIME_KEY);
-    const result = await core.state.txn(
+    const { state, view } = this.context;
+    const version = view.version(TIME_KEY);
+    const result = await state.txn(
       [{ key: TIME_KEY, version }],
       [{ op: 'put', key: TIME_KEY, value }],
       Rank.handover,
     );
-    if (result.kind === 'done') await core.exclusive(() => core.view.learn(TIME_KEY, value, result.revision));
+    if (result.kind !== 'done') return;
+    await this.context.exclusive(() => view.learn(TIME_KEY, value, result.revision));
   }
 
   private isFirst(): boolean {
-    const { settings, view } = this.core;
-    const first = settings.parts.find((p) => view.get(aliveKey(p.node)) !== undefined);
+    const { settings, view } = this.context;
+    const first = settings.parts.find((part) => view.get(aliveKey(part.node)) !== undefined);
     return first?.node === settings.node;
   }
 }
--- a/src/jobs/dependencies.ts
+++ b/src/jobs/dependencies.ts
@@ -4,7 +4,7 @@
  */
 import type { ReadResult, TxnResult } from '../state/client.js';
 import type { Rank } from '../state/budget.js';
-import type { Change, Condition } from '../state/wire.js';
+import type { Change, Condition, Entry } from '../state/wire.js';
 import type { Clock, JobId, Millis, Revision, StateKey, SteadyMs } from '../units.js';
 import type { JobRecord } from './record.js';
 
@@ -15,6 +15,8 @@
 export interface JobStore {
   /** This controller's share of the request limit, in requests a second. */
   readonly requestRate: number;
+  /** This controller's share of the limit of changes, in changes a second. */
+  readonly writeRate: number;
   /** How long a submission would wait for its turn in the request budget. */
   readonly submitWait: Millis;
   /** Reads one key from the store, not from the view. */
@@ -31,6 +33,8 @@
   readonly confirmed: SteadyMs;
   /** The store's revision that the view has reached. */
   readonly revision: Revision;
+  /** What a key was last seen to hold; `undefined` when it is absent. */
+  get(key: StateKey): Entry | undefined;
   /** The version a key was last seen at; `NO_REVISION` when it is absent. */
   version(key: StateKey): Revision;
   /** Takes in a fact from a read or a committed write; `undefined` when the key was dropped. */
@@ -47,6 +51,12 @@
   exclusive<T>(work: () => T): Promise<T>;
 }
 
+/** Whether this controller may still act for what it owns. */
+export interface Authority {
+  /** False once the view was last confirmed too long ago. */
+  authority(now: SteadyMs): boolean;
+}
+
 /** The steady clock and its timers. */
 export interface Timers {
   readonly clock: Clock;
--- a/src/jobs/progress.ts
+++ b/src/jobs/progress.ts
@@ -1,10 +1,12 @@
 /** Writes finished tasks into the job records, and ends a job with its last task. */
-import type { Core } from '../core.js';
-import type { PartJob } from '../parts/model.js';
+import type { Log } from '../log.js';
+import type { Part, PartJob } from '../parts/model.js';
 import { RangeSet } from '../ranges.js';
+import type { Settings } from '../settings/settings.js';
 import { Rank } from '../state/budget.js';
 import type { Change } from '../state/wire.js';
-import type { JobId, SteadyMs } from '../units.js';
+import type { Clock, JobId, PartId, SteadyMs } from '../units.js';
+import type { ActiveJobs, StateAccess } from './dependencies.js';
 import {
   encodeFinal,
   encodeRecord,
@@ -16,94 +18,115 @@
 } from './record.js';
 
 /** Progress of a job is written at most this often; its part's last task at once. */
-const PROGRESS_GAP = 1500;
-/** Of this controller's changes a second. Results that are not written yet stay with their workers. */
+const PROGRESS_INTERVAL_MS = 1500;
+/** Share of this controller's changes a second. Results that are not written yet stay with their workers. */
 const PROGRESS_SHARE = 0.3;
+/** Writes that may be on their way at once. */
 const MAX_WRITES = 4;
+/** Times of last writes that are kept; all are dropped beyond it, which costs at most one early write a job. */
+const MAX_WRITE_TIMES = 5000;
 
-interface Due {
+/** What the writer uses of the controller. */
+export interface ProgressContext extends StateAccess {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly settings: Pick<Settings, 'valueBytes'>;
+  /** The pools that this controller owns. */
+  readonly parts: ReadonlyMap<PartId, Part>;
+  readonly live: ActiveJobs;
+  /** Asks for a placement round soon. */
+  readonly wake: () => void;
+}
+
+/** Finished tasks of one job that are to be written. */
+interface PendingWrite {
   readonly id: JobId;
   readonly record: JobRecord;
-  readonly more: RangeSet;
+  readonly finished: RangeSet;
+  /** Nothing of the job is left to do here. */
   readonly last: boolean;
 }
 
+/** Collects finished tasks of the pools owned here, and writes them job by job. */
 export class ProgressWriter {
   private readonly writing = new Set<JobId>();
   private readonly lastWrite = new Map<JobId, SteadyMs>();
 
   constructor(
-    private readonly core: Core,
+    private readonly context: ProgressContext,
+    /** A job has ended: the state service has confirmed it. */
     private readonly onFinal: (id: JobId) => void,
   ) {}
 
+  /** Starts the writes that are due, jobs with their last tasks first. */
   tick(): void {
-    const now = this.core.clock.now();
+    const now = this.context.clock.now();
     const due = [...this.collect(now).values()].sort((a, b) => Number(b.last) - Number(a.last));
-    for (const d of due) {
+    for (const pending of due) {
       if (this.writing.size >= MAX_WRITES) return;
-      this.writing.add(d.id);
-      void this.write(d).finally(() => this.writing.delete(d.id));
+      this.writing.add(pending.id);
+      void this.write(pending).finally(() => this.writing.delete(pending.id));
     }
   }
 
-  private collect(now: SteadyMs): Map<JobId, Due> {
-    const out = new Map<JobId, Due>();
-    for (const part of this.core.parts.values()) {
+  private collect(now: SteadyMs): Map<JobId, PendingWrite> {
+    const out = new Map<JobId, PendingWrite>();
+    for (const part of this.context.parts.values()) {
       for (const job of part.ended) {
-        const record = this.core.live.get(job.id);
+        const record = this.context.live.get(job.id);
         if (job.finished.isEmpty || !record || part.jobs.get(job.id) !== job) part.ended.delete(job);
         if (job.finished.isEmpty || !record || this.writing.has(job.id)) continue;
-        const more = out.get(job.id)?.more ?? RangeSet.empty();
-        more.addAll(job.finished);
-        const last = this.isLast(job, more, record);
-        if (!last && now - (this.lastWrite.get(job.id) ?? -1e12) < this.gap()) continue;
-        out.set(job.id, { id: job.id, record, more, last });
+        const finished = out.get(job.id)?.finished ?? RangeSet.empty();
+        finished.addAll(job.finished);
+        const last = this.isLast(job, finished, record);
+        if (!last && now - (this.lastWrite.get(job.id) ?? -1e12) < this.interval()) continue;
+        out.set(job.id, { id: job.id, record, finished, last });
       }
     }
     return out;
   }
 
-  /** Jobs in progress share the part of the write budget that is meant for it. */
-  private gap(): number {
+  /** How far apart the writes of one job are, in milliseconds: all jobs share the budget meant for progress. */
+  private interval(): number {
     let jobs = 0;
-    for (const part of this.core.parts.values()) jobs += part.ended.size;
-    return Math.max(PROGRESS_GAP, (jobs * 1000) / (PROGRESS_SHARE * this.core.state.writeRate));
+    for (const part of this.context.parts.values()) jobs += part.ended.size;
+    return Math.max(PROGRESS_INTERVAL_MS, (jobs * 1000) / (PROGRESS_SHARE * this.context.state.writeRate));
   }
 
   /** Nothing of the job is left to do here: other parts may be waiting for this word to end it. */
-  private isLast(job: PartJob, more: RangeSet, record: JobRecord): boolean {
+  private isLast(job: PartJob, finished: RangeSet, record: JobRecord): boolean {
     if (!job.waiting.isEmpty || !job.frozen.isEmpty || !job.moving.isEmpty) return false;
     const open = RangeSet.of(
-      record.assignments.filter((a) => this.core.parts.has(a.part)).map((a) => [a.from, a.to] as const),
+      record.assignments.filter((a) => this.context.parts.has(a.part)).map((a) => [a.from, a.to] as const),
     );
     open.removeAll(record.done);
-    open.removeAll(more);
+    open.removeAll(finished);
     return open.isEmpty;
   }
 
-  private async write(d: Due): Promise<void> {
-    const { core } = this;
-    const key = liveKey(d.id);
-    const version = core.view.version(key);
-    const record = withDone(d.record, d.more, core.settings.valueBytes);
+  /** The job's end is the same transaction that writes its last task. */
+  private async write(pending: PendingWrite): Promise<void> {
+    const { state, view, settings, clock, log } = this.context;
+    const key = liveKey(pending.id);
+    const version = view.version(key);
+    const record = withDone(pending.record, pending.finished, settings.valueBytes);
     const complete = isComplete(record);
     const value = encodeRecord(record);
     const changes: Change[] = complete
       ? [
           { op: 'drop', key },
-          { op: 'put', key: finalKey(d.id), value: encodeFinal('done') },
+          { op: 'put', key: finalKey(pending.id), value: encodeFinal('done') },
         ]
       : [{ op: 'put', key, value }];
-    const result = await core.state.txn([{ key, version }], changes, d.last ? Rank.final : Rank.progress);
-    this.lastWrite.set(d.id, core.clock.now());
-    if (this.lastWrite.size > 5000) this.lastWrite.clear();
+    const result = await state.txn([{ key, version }], changes, pending.last ? Rank.final : Rank.progress);
+    this.lastWrite.set(pending.id, clock.now());
+    if (this.lastWrite.size > MAX_WRITE_TIMES) this.lastWrite.clear();
     if (result.kind !== 'done') return;
     if (complete) {
-      this.onFinal(d.id);
-      core.log.info({ job: d.id }, 'job done');
+      this.onFinal(pending.id);
+      log.info({ job: pending.id }, 'job done');
     }
-    await core.exclusive(() => core.view.learn(key, complete ? undefined : value, result.revision));
-    core.wake();
+    await this.context.exclusive(() => view.learn(key, complete ? undefined : value, result.revision));
+    this.context.wake();
   }
 }
