--- a/src/controller.ts
+++ b/src/controller.ts
@@ -39,7 +39,7 @@
   TeamId,
 } from './units.js';
 import { millis } from './units.js';
-import { CALL_SHARE, WorkerDesk, type WorkerLink } from './workers/desk.js';
+import { DIRECT_CALL_SHARE, WorkerService, type WorkerLink } from './workers/service.js';
 
 const TICK = millis(200);
 /** What walks over all machines is done at this interval, not on every event. */
@@ -65,7 +65,7 @@
 
 export function networkPorts(settings: Settings, log: Log): Ports {
   const peers = settings.peers.map((p) => ({ node: p.node, address: p.address }));
-  const toWorkers = new Sockets(Math.floor(settings.maxConnections * CALL_SHARE));
+  const toWorkers = new Sockets(Math.floor(settings.maxConnections * DIRECT_CALL_SHARE));
   const options = {
     maxConnections: Math.max(16, settings.maxConnections - RESERVED_SOCKETS - 2 * toWorkers.kept),
     receive: millis(10_000),
@@ -89,7 +89,7 @@
 export class Controller {
   private readonly core: Core;
   private readonly ownership: Ownership;
-  private readonly workers: WorkerDesk;
+  private readonly workers: WorkerService;
   private readonly jobs: JobService;
   private readonly scheduler: Scheduler;
   private readonly quota: QuotaDesk;
@@ -122,7 +122,7 @@
     core.stateHealthy = () => this.follower.healthy;
     const runTimes = new RunTimes();
     this.ownership = new Ownership(core, (p) => this.workers.workersAnswer(p));
-    this.workers = new WorkerDesk(core, this.ownership, runTimes, ports.worker);
+    this.workers = new WorkerService(core, this.ownership, runTimes, ports.worker);
     this.jobs = new JobService(
       core,
       (spec) => this.assign(spec),
@@ -163,9 +163,9 @@
     this.timeKeeper.tick();
     if (now - this.lastReview >= REVIEW) {
       this.lastReview = now;
-      for (const part of this.core.parts.values()) this.workers.sweep(part);
+      for (const part of this.core.parts.values()) this.workers.expireLeases(part);
       this.fleet.review();
-      this.workers.forgetClients();
+      this.workers.closeUnusedClients();
     }
     this.announce(now);
     this.logFigures(now);
--- a/src/placement/scheduler.ts
+++ b/src/placement/scheduler.ts
@@ -10,7 +10,7 @@
 import type { QuotaDesk } from '../quota/desk.js';
 import type { Attempt, JobId, SteadyMs, TaskIndex, TeamId } from '../units.js';
 import { millis, plus, taskId } from '../units.js';
-import type { WorkerDesk } from '../workers/desk.js';
+import type { WorkerService } from '../workers/service.js';
 import { chooseMove } from './gather.js';
 import { planRound } from './plan.js';
 import { countOf, type Plan, type PlanContext, type Start } from './round.js';
@@ -50,7 +50,7 @@
 
   constructor(
     private readonly core: Core,
-    private readonly desk: WorkerDesk,
+    private readonly workers: WorkerService,
     private readonly quota: QuotaDesk,
     private readonly fleet: Fleet,
     private readonly runTimes: RunTimes,
@@ -99,7 +99,7 @@
     const plan = planRound(part, context);
     this.apply(part, plan, now);
     if (plan.starts.length + plan.stops.length + plan.unplaced.length === 0) this.gather(part, context);
-    this.desk.dispatch(part);
+    this.workers.dispatch(part);
     this.overflow.consider(part, plan.unplaced);
     this.askForShares(part, plan);
     this.fleet.demand(part, plan.unplaced, now);
--- a/src/workers/desk.ts
+++ b/src/workers/service.ts
@@ -18,30 +18,30 @@
 
 const DIRECT_TIMEOUT = millis(2000);
 /** A worker waits 4 s for its answer. */
-const TOO_LATE = 2500;
-const DOUBT_PATIENCE = 3000;
+const MAX_ANSWER_DELAY_MS = 2500;
+const UNRESOLVED_LAUNCH_MS = 3000;
 /** How often a machine that we could not reach is tried again. */
-const PROBE_GAP = 2000;
+const RETRY_INTERVAL_MS = 2000;
 /** After a claim the whole part waits for the answer: shorter, and asked again sooner. */
 const CLAIM_TIMEOUT = millis(1000);
-const CLAIM_GAP = 250;
-const GONE_KEPT = 5000;
+const CLAIM_RETRY_INTERVAL_MS = 250;
+const MAX_RETIRED = 5000;
 /**
  * Of our sockets: calls to workers at once, and as many again that are kept open after a call. The rest is for those
  * who come to us: a controller that is left alone has a connection of every machine.
  */
-export const CALL_SHARE = 0.1;
-const REFUSE: Answer = { status: 503, body: { error: 'not entitled now' }, retryAfterS: 1 };
+export const DIRECT_CALL_SHARE = 0.1;
+const NOT_ENTITLED: Answer = { status: 503, body: { error: 'not entitled now' }, retryAfterS: 1 };
 
 /** A way to one worker's own address. */
 export interface WorkerLink extends Caller {
   close(): void;
 }
 
-export class WorkerDesk {
+export class WorkerService {
   private readonly clients = new Map<string, WorkerLink>();
   private raisedAt = steady(-1e12);
-  private delivering = 0;
+  private deliveries = 0;
   private readonly naming: Naming;
 
   constructor(
@@ -56,11 +56,11 @@
   async report(body: Buffer): Promise<Answer> {
     const report = parseReport(body);
     if (!report) return { status: 400, body: { error: 'not a report' } };
-    if (!this.core.view.loaded) return REFUSE;
+    if (!this.core.view.loaded) return NOT_ENTITLED;
     const from = this.core.clock.now();
     const named = await this.partOf(report);
     // Named too late for this answer to reach the worker: its lease would run out under what we start there.
-    if (named === null || this.core.clock.now() - from > TOO_LATE) return REFUSE;
+    if (named === null || this.core.clock.now() - from > MAX_ANSWER_DELAY_MS) return NOT_ENTITLED;
     return this.core.exclusive(() => this.answer(report, named));
   }
 
@@ -81,8 +81,8 @@
       this.outranked(part, now);
       return { status: 421, body: encodeRedirect(null) };
     }
-    if (!this.core.authority(now) || this.isDeaf(part, machine, report, now)) return REFUSE;
-    if (!applyReport(part, machine, report, 'report', this.context(now))) return REFUSE;
+    if (!this.core.authority(now) || this.isUnreachable(part, machine, report, now)) return NOT_ENTITLED;
+    if (!applyReport(part, machine, report, 'report', this.context(now))) return NOT_ENTITLED;
     const orders = ordersInAnswer(part, machine);
     if (!machine.settled) {
       part.due.add(machine);
@@ -96,7 +96,7 @@
    * It reports and never shows the token that our answers carry: they do not reach it. Each further answer might
    * renew its lease, and the part would wait for it for ever; refused, its lease ends for certain.
    */
-  private isDeaf(part: Part, machine: Machine, report: Report, now: SteadyMs): boolean {
+  private isUnreachable(part: Part, machine: Machine, report: Report, now: SteadyMs): boolean {
     if (report.token >= part.token || machine.settled || machine.answeredUnsettled === null || part.accounted)
       return false;
     return now - machine.answeredUnsettled > 3 * this.core.reportMs + 4000;
@@ -161,7 +161,7 @@
     if (record) return;
     this.core.imageHints.delete(id);
     this.core.gone.add(id);
-    if (this.core.gone.size > GONE_KEPT)
+    if (this.core.gone.size > MAX_RETIRED)
       this.core.gone.delete(this.core.gone.keys().next().value as MachineId);
   }
 
@@ -178,13 +178,13 @@
     if (!this.core.authority(now)) return;
     for (const machine of part.due) {
       // Bounded: after a takeover there are hundreds to talk to, and each costs a connection.
-      if (this.delivering >= this.maxDelivering) return;
-      if (!this.tell(part, machine, now)) part.due.delete(machine);
+      if (this.deliveries >= this.maxDeliveries) return;
+      if (!this.sendDue(part, machine, now)) part.due.delete(machine);
     }
   }
 
   /** Sends what is due on one machine; false: there is nothing to say, until something changes. */
-  private tell(part: Part, machine: Machine, now: SteadyMs): boolean {
+  private sendDue(part: Part, machine: Machine, now: SteadyMs): boolean {
     if (machine.returning) return false;
     if (machine.directBusy || machine.address === '') return true;
     const behind = part.token > machine.token;
@@ -201,16 +201,16 @@
     if (machine.lastHeard === null) return false;
     const { orders, launches } = ordersDirect(part, machine, now);
     if (orders.length > 0) void this.deliver(part, machine, launches, orders);
-    else if (!behind || !this.hasDoubt(machine)) return false;
+    else if (!behind || !this.hasUnresolvedLaunch(machine)) return false;
     else if (now >= machine.avoidUntil) void this.deliver(part, machine, []);
     return true;
   }
 
-  private get maxDelivering(): number {
-    return Math.max(16, Math.floor(this.core.settings.maxConnections * CALL_SHARE));
+  private get maxDeliveries(): number {
+    return Math.max(16, Math.floor(this.core.settings.maxConnections * DIRECT_CALL_SHARE));
   }
 
-  private hasDoubt(machine: Machine): boolean {
+  private hasUnresolvedLaunch(machine: Machine): boolean {
     for (const b of machine.bindings.values()) if (b.doubt) return true;
     for (const e of machine.exited.values()) if (e.doubt) return true;
     return false;
@@ -232,7 +232,7 @@
     orders: ReturnType<typeof ordersDirect>['orders'] = [],
   ): Promise<void> {
     machine.directBusy = true;
-    this.delivering += 1;
+    this.deliveries += 1;
     const token = part.token;
     const session = machine.session;
     const body = encodeDirect(token, session, orders);
@@ -244,7 +244,7 @@
     });
     await this.core.exclusive(() => {
       machine.directBusy = false;
-      this.delivering -= 1;
+      this.deliveries -= 1;
       part.due.add(machine);
       this.settle(part, machine, launches, outcome, { token, session });
       this.changed(part);
@@ -269,7 +269,7 @@
       return;
     }
     machine.missedCalls += 1;
-    machine.avoidUntil = plus(now, millis(machine.settled ? PROBE_GAP : CLAIM_GAP));
+    machine.avoidUntil = plus(now, millis(machine.settled ? RETRY_INTERVAL_MS : CLAIM_RETRY_INTERVAL_MS));
     machine.unreachedSince ??= now;
     const unsent = outcome.kind === 'unsent' || (outcome.kind === 'answer' && outcome.status === 400);
     this.core.log.debug(
@@ -281,15 +281,15 @@
   }
 
   /** Leases that certainly ran out, and doubts that only a higher token can end. */
-  sweep(part: Part): void {
+  expireLeases(part: Part): void {
     const now = this.core.clock.now();
-    for (const machine of part.machines.values()) this.sweepMachine(part, machine, now);
+    for (const machine of part.machines.values()) this.expireLease(part, machine, now);
     let stale = false;
     for (const m of part.machines.values()) {
       if (m.lastHeard === null || now - m.lastHeard > this.core.reportMs * 2 || m.token > part.token)
         continue;
-      for (const b of m.bindings.values()) stale ||= isStale(b.doubt, part, now);
-      for (const e of m.exited.values()) stale ||= isStale(e.doubt, part, now);
+      for (const b of m.bindings.values()) stale ||= isOverdue(b.doubt, part, now);
+      for (const e of m.exited.values()) stale ||= isOverdue(e.doubt, part, now);
     }
     if (stale) {
       this.core.log.info({ part: part.id }, 'raising the token to settle direct orders without an answer');
@@ -298,7 +298,7 @@
     this.changed(part);
   }
 
-  private sweepMachine(part: Part, machine: Machine, now: SteadyMs): void {
+  private expireLease(part: Part, machine: Machine, now: SteadyMs): void {
     if (machine.lastReport === null && machine.settled) return;
     // Until then an owner before us may have answered it: that one stops when its view is too old.
     const before = machine.settled ? 0 : part.claimedAt + this.core.settings.cancelS * 1001;
@@ -333,7 +333,7 @@
     return answers * 2 > asked.length;
   }
 
-  forgetClients(): void {
+  closeUnusedClients(): void {
     const wanted = new Set<string>();
     for (const part of this.core.parts.values())
       for (const m of part.machines.values()) wanted.add(m.address);
@@ -345,6 +345,6 @@
   }
 }
 
-function isStale(doubt: Binding['doubt'], part: Part, now: SteadyMs): boolean {
-  return doubt !== null && doubt.token >= part.token && now - doubt.since > DOUBT_PATIENCE;
+function isOverdue(doubt: Binding['doubt'], part: Part, now: SteadyMs): boolean {
+  return doubt !== null && doubt.token >= part.token && now - doubt.since > UNRESOLVED_LAUNCH_MS;
 }
