Workers: reports, direct orders, leases and clients are modules of their own

workers/service.ts held them all in 350 lines. It is now a thin service (100 lines) around report-handler.ts (answers to reports), direct-orders.ts (calls to workers), lease-expiry.ts (leases and launches that nobody answered), clients.ts (connections to workers) and pool-updates.ts (what follows a change of a pool). The code is moved; the search for overdue launches and the calls of /status are functions of their own. No change of behaviour.

--- a/src/controller.ts
+++ b/src/controller.ts
@@ -39,7 +39,8 @@
   TeamId,
 } from './units.js';
 import { millis } from './units.js';
-import { DIRECT_CALL_SHARE, WorkerService, type WorkerLink } from './workers/service.js';
+import { DIRECT_CALL_SHARE, type WorkerLink } from './workers/clients.js';
+import { WorkerService } from './workers/service.js';
 
 const TICK = millis(200);
 /** What walks over all machines is done at this interval, not on every event. */
--- /dev/null
+++ b/src/workers/direct-orders.ts
@@ -0,0 +1,132 @@
+/** Sends orders straight to workers, where waiting for their next report would be too slow. */
+import type { Core } from '../core.js';
+import type { Outcome } from '../http/client.js';
+import type { Binding, Doubt, Machine, Part } from '../parts/model.js';
+import type { SteadyMs } from '../units.js';
+import { millis, plus } from '../units.js';
+import { DIRECT_CALL_SHARE, type WorkerClients } from './clients.js';
+import { ordersDirect } from './orders.js';
+import type { PoolUpdates } from './pool-updates.js';
+import { applyReport } from './reports.js';
+import { decodeReport, encodeDirect, type Order } from './wire.js';
+
+const CALL_TIMEOUT = millis(2000);
+/** How often a machine that we could not reach is tried again. */
+const RETRY_INTERVAL_MS = 2000;
+/** After a claim the whole part waits for the answer: shorter, and asked again sooner. */
+const CLAIM_CALL_TIMEOUT = millis(1000);
+const CLAIM_RETRY_INTERVAL_MS = 250;
+const MIN_CALLS = 16;
+
+/** What one call carries. */
+interface Delivery {
+  readonly orders: readonly Order[];
+  readonly launches: readonly Binding[];
+}
+
+/** Orders without content still carry our token. */
+const TOKEN_ONLY: Delivery = { orders: [], launches: [] };
+
+/** Bounded calls to workers, one at a time for each machine. */
+export class DirectOrders {
+  private calls = 0;
+
+  constructor(
+    private readonly core: Core,
+    private readonly clients: WorkerClients,
+    private readonly updates: PoolUpdates,
+  ) {}
+
+  /** Sends what is due on every machine, one request a machine at a time. */
+  dispatch(part: Part): void {
+    const now = this.core.clock.now();
+    if (!this.core.authority(now)) return;
+    for (const machine of part.due) {
+      // Bounded: after a takeover there are hundreds to talk to, and each costs a connection.
+      if (this.calls >= this.maxCalls) return;
+      if (!this.sendDue(part, machine, now)) part.due.delete(machine);
+    }
+  }
+
+  /** Sends what is due on one machine; false: there is nothing to say, until something changes. */
+  private sendDue(part: Part, machine: Machine, now: SteadyMs): boolean {
+    if (machine.returning) return false;
+    if (machine.directBusy || machine.address === '') return true;
+    const behind = part.token > machine.token;
+    if (!machine.settled && behind) {
+      if (now >= machine.avoidUntil) void this.deliver(part, machine, TOKEN_ONLY);
+      return true;
+    }
+    if (machine.unreachedSince !== null) {
+      if (now < machine.avoidUntil) return true;
+      void this.deliver(part, machine, ordersDirect(part, machine, now));
+      return true;
+    }
+    if (machine.lastHeard === null) return false;
+    const due = ordersDirect(part, machine, now);
+    if (due.orders.length > 0) void this.deliver(part, machine, due);
+    else if (!behind || !hasUnresolvedLaunch(machine)) return false;
+    else if (now >= machine.avoidUntil) void this.deliver(part, machine, TOKEN_ONLY);
+    return true;
+  }
+
+  private get maxCalls(): number {
+    return Math.max(MIN_CALLS, Math.floor(this.core.settings.maxConnections * DIRECT_CALL_SHARE));
+  }
+
+  private async deliver(part: Part, machine: Machine, { orders, launches }: Delivery): Promise<void> {
+    machine.directBusy = true;
+    this.calls += 1;
+    const token = part.token;
+    const session = machine.session;
+    const body = encodeDirect(token, session, orders);
+    const outcome = await this.clients.at(machine.address).call({
+      method: 'POST',
+      path: '/orders',
+      body,
+      timeout: machine.settled ? CALL_TIMEOUT : CLAIM_CALL_TIMEOUT,
+    });
+    await this.core.exclusive(() => {
+      machine.directBusy = false;
+      this.calls -= 1;
+      part.due.add(machine);
+      this.settle(part, machine, launches, outcome, { token, session });
+      this.updates.changed(part);
+    });
+  }
+
+  private settle(
+    part: Part,
+    machine: Machine,
+    launches: readonly Binding[],
+    outcome: Outcome,
+    sent: Pick<Doubt, 'token' | 'session'>,
+  ): void {
+    const now = this.core.clock.now();
+    for (const launch of launches) launch.inFlight = false;
+    const answered = outcome.kind === 'answer' && (outcome.status === 200 || outcome.status === 409);
+    const report = answered ? decodeReport(outcome.body) : null;
+    if (report && report.machine === machine.id) {
+      machine.unreachedSince = null;
+      machine.missedCalls = 0;
+      applyReport(part, machine, report, 'direct', this.updates.reportContext(now));
+      return;
+    }
+    machine.missedCalls += 1;
+    machine.avoidUntil = plus(now, millis(machine.settled ? RETRY_INTERVAL_MS : CLAIM_RETRY_INTERVAL_MS));
+    machine.unreachedSince ??= now;
+    const unsent = outcome.kind === 'unsent' || (outcome.kind === 'answer' && outcome.status === 400);
+    this.core.log.debug(
+      { machine: machine.id, outcome: outcome.kind, launches: launches.length },
+      'direct order',
+    );
+    // Sent and not answered: it may be carried out minutes from now, as long as token and session match.
+    if (!unsent) for (const launch of launches) launch.doubt = { ...sent, since: now };
+  }
+}
+
+function hasUnresolvedLaunch(machine: Machine): boolean {
+  for (const allocation of machine.bindings.values()) if (allocation.doubt) return true;
+  for (const exited of machine.exited.values()) if (exited.doubt) return true;
+  return false;
+}
