Tests: users' requests meet lost answers, late writes and the last task's end; a lost wakeup

Cause (src/flock/overflow.ts, takeBack): while all waiting tasks of a job were being handed over, a placement round took the job off the part's queue; when the hand-over failed the tasks waited again, but the job was not queued again and never ran. Also (src/jobs/desk.ts): a submission whose answer comes after its job's end was confirmed elsewhere is answered with that end (without it: 201 pending instead of cancelled); a repeated submission of a known job with too long a description is answered 200, not 400.

--- a/src/flock/overflow.ts
+++ b/src/flock/overflow.ts
@@ -119,5 +119,7 @@
       if (ours && !job.record.done.has(i) && !job.finished.has(i)) job.waiting.add(i);
     }
     job.moving.removeAll(job.moving.clone());
+    // While all its waiting tasks were moving, the placement rounds took the job for one without any.
+    part.queue.add(job);
   }
 }
--- a/src/jobs/desk.ts
+++ b/src/jobs/desk.ts
@@ -146,7 +146,7 @@
       done: RangeSet.empty(),
     };
     if (recordBytes(record) > this.core.settings.valueBytes) {
-      return { status: 400, body: { error: 'the description is too long' } };
+      return this.refuse(spec.id, 400, 'the description is too long');
     }
     const value = encodeRecord(record);
     const when = [liveKey(spec.id), finalKey(spec.id)].map((key) => ({ key, version: NO_REVISION }));
@@ -158,6 +158,8 @@
     if (result.kind !== 'done') return this.busy();
     const revision = result.revision;
     await this.core.exclusive(() => this.core.view.learn(change.key, value, revision));
+    // The answer took so long that another controller has confirmed the job's end meanwhile.
+    if (!this.core.live.has(spec.id)) return this.known(spec.id);
     this.core.log.info(
       { job: spec.id, team: spec.team, tasks: spec.tasks, shape: spec.shape },
       'job accepted',
--- a/test/standins/users.ts
+++ b/test/standins/users.ts
@@ -24,6 +24,9 @@
   readonly state: string;
 }
 
+/** How long a user waits for an answer before he turns to another node, in milliseconds. */
+const PATIENCE = 5000;
+
 const isFinal = (state: string): state is FinalState => state === 'done' || state === 'cancelled';
 
 export class Users {
@@ -89,7 +92,8 @@
     const { final, accepted } = this.story(id);
     const sent = this.world.clock.now();
     this.count.asked += 1;
-    const answer = await this.world.request(node, method, path, body);
+    const timeout = this.world.clock.sleep(PATIENCE).then(() => null);
+    const answer = await Promise.race([this.world.request(node, method, path, body), timeout]);
     const told = this.toldBy(answer);
     if (told.status === 0 || told.status >= 500) this.count.undecided += 1;
     if (method === 'GET' && this.world.clock.now() - sent > 2000) this.count.late += 1;
--- a/test/user-meetings.test.ts
+++ b/test/user-meetings.test.ts
@@ -5,13 +5,16 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
+import { seededRandom, type Random } from '../src/flock/willing.js';
 import { View } from '../src/state/view.js';
 import type { Revision, StateKey, SteadyMs } from '../src/units.js';
 import type { TxnBody } from './standins/state.js';
 import { Users, type Told } from './standins/users.js';
-import { World } from './standins/world.js';
+import { World, type JobOptions } from './standins/world.js';
 
 const NODES = [0, 1, 2];
+/** Milliseconds after an event at which all nodes are asked. */
+const BURST = [0, 1, 2, 5, 10, 20, 50];
 
 async function startWorld(...zones: string[]): Promise<{ world: World; users: Users }> {
   const world = new World();
@@ -23,9 +26,36 @@
 const changes = (body: TxnBody): NonNullable<TxnBody['apply']> => body.apply ?? [];
 const puts = (body: TxnBody, prefix: string): boolean => changes(body).some((c) => c.put?.startsWith(prefix));
 
+/** The job that a transaction accepts or ends. */
+function jobOf(body: TxnBody): string | null {
+  if (!isCreation(body) && !isEnd(body)) return null;
+  const entry = changes(body).find((c) => /^(c\/live|over)\//.test(c.put ?? ''));
+  return entry?.put?.split('/').at(-1) ?? null;
+}
+
 const isCreation = (body: TxnBody): boolean =>
   puts(body, 'c/live/') && body.when.some((c) => c.path.startsWith('over/'));
 const isEnd = (body: TxnBody): boolean => changes(body).some((c) => c.put?.startsWith('over/'));
+type Kind = 'submission' | 'cancellation' | 'end' | 'progress or hand-over' | 'claim' | 'share' | 'other';
+
+function kindOf(body: TxnBody): Kind {
+  if (isCreation(body)) return 'submission';
+  if (isCancellation(body)) return 'cancellation';
+  if (isEnd(body)) return 'end';
+  if (puts(body, 'c/live/')) return 'progress or hand-over';
+  if (puts(body, 'c/token')) return 'claim';
+  return puts(body, 'c/quota/') ? 'share' : 'other';
+}
+
+const KINDS: readonly Kind[] = [
+  'submission',
+  'cancellation',
+  'end',
+  'progress or hand-over',
+  'claim',
+  'share',
+];
+
 const isCancellation = (body: TxnBody): boolean => isEnd(body) && JSON.stringify(body).includes('cancelled');
 
 /** Everybody asks about every job until it is over for all, or the time is up. */
@@ -144,3 +174,240 @@
     assert.notEqual(users.finalOf('req-1'), null);
   }
 });
+
+interface Crowd {
+  readonly jobs: number;
+  /** Between two submissions, on average, in milliseconds. */
+  readonly gap: number;
+  /** Of a hundred jobs, how many their users cancel. */
+  readonly cancelled: number;
+  readonly options: (random: Random, index: number) => JobOptions;
+}
+
+/** Users who repeat themselves until they are answered, as the protocol says, at another node each time. */
+async function persist(world: World, from: number, ask: (node: number) => Promise<Told>): Promise<Told> {
+  for (let attempt = 0; ; attempt += 1) {
+    const told = await ask((from + attempt) % NODES.length);
+    if (told.status > 0 && told.status < 429) return told;
+    if (attempt > 60) return told;
+    await world.clock.sleep(1000);
+  }
+}
+
+/** Submits jobs and cancels some: a third of these at once, a third within a second, the others later. */
+async function crowd(world: World, users: Users, random: Random, c: Crowd): Promise<string[]> {
+  const ids: string[] = [];
+  for (let index = 0; index < c.jobs; index += 1) {
+    const id = `req-${index}`;
+    ids.push(id);
+    const options = c.options(random, index);
+    const accepted = persist(world, random(3), (node) => users.submit(node, id, options));
+    if (random(100) < c.cancelled) {
+      const delay = [0, random(1000), 1000 + random(4000)][random(3)] ?? 0;
+      const cancel = (): Promise<Told> => persist(world, random(3), (node) => users.abort(node, id));
+      void accepted.then(() => world.clock.after(delay, () => void cancel()));
+    }
+    await world.step(10 + random(2 * c.gap));
+  }
+  return ids;
+}
+
+test('all nodes are asked again and again right after a job is accepted, cancelled or ended', async () => {
+  for (let seed = 1; seed <= 6; seed += 1) {
+    const { world, users } = await startWorld('east', 'west', 'east');
+    const random = seededRandom(seed);
+    // On every other run one controller is answered late.
+    const slow = `n${seed % 3}`;
+    world.state.answerDelay = (node) => (seed % 2 === 0 && node === slow ? random(400) : 0);
+    world.state.applied = (body) => {
+      const id = jobOf(body);
+      if (id !== null) users.lookClosely(id, BURST);
+    };
+    const options = (): JobOptions => ({ tasks: 1 + random(2), cpus: 1, runMs: 300 + random(2000) });
+    const ids = await crowd(world, users, random, { jobs: 16, gap: 250, cancelled: 40, options });
+    await askUntilOver(world, users, ids, 30);
+    assertClean(world);
+    for (const id of ids) assert.notEqual(users.finalOf(id), null, `${id} is over`);
+  }
+});
+
+test('a submission is answered late, when its repetition has been accepted and cancelled elsewhere', async () => {
+  for (const delay of [400, 700, 1400]) {
+    const { world, users } = await startWorld('east', 'west', 'east');
+    await world.step(500);
+    world.state.answerDelay = (node, call) => (node === 'n0' && call.path === '/txn' ? delay : 0);
+    let told = false;
+    world.state.applied = (body) => {
+      if (told || !isCreation(body)) return;
+      told = true;
+      void users.submit(1, 'req-1').then(() => users.abort(1, 'req-1'));
+    };
+    const late = await answered(world, users.submit(0, 'req-1', { runMs: 60_000 }));
+    assert.deepEqual(late, { status: 200, state: 'cancelled' });
+    await askUntilOver(world, users, ['req-1'], 5);
+    assertClean(world);
+    assert.deepEqual(startsAfterCancellation(world), []);
+  }
+});
+
+/** Every kind of write has met the trouble, or the test shows nothing about it. */
+function assertMet(met: ReadonlyMap<Kind, number>): void {
+  const missed = KINDS.filter((kind) => (met.get(kind) ?? 0) === 0);
+  assert.deepEqual(missed, [], 'kinds of writes that did not meet the trouble');
+}
+
+/** Work for all parts at once: shares move, tasks are handed over, and a controller ends and comes back. */
+async function workAndTakeover(
+  world: World,
+  users: Users,
+  random: Random,
+  endsTrouble: () => void,
+): Promise<string[]> {
+  const options = (): JobOptions => ({
+    tasks: 1 + random(6),
+    runMs: 500 + random(4000),
+    zone: [null, 'east', 'west'][random(3)] ?? null,
+    team: ['red', 'red', 'red', 'blue'][random(4)] ?? 'red',
+  });
+  const gone = random(3);
+  const first = await crowd(world, users, random, { jobs: 12, gap: 250, cancelled: 40, options });
+  world.killNode(gone);
+  await world.step(2000 + random(4000));
+  await world.startNode(gone);
+  await world.step(8000);
+  endsTrouble();
+  await world.step(12_000);
+  return first;
+}
+
+test('a transaction is carried out at once and its answer is lost, while all nodes read what it wrote', async () => {
+  const met = new Map<Kind, number>();
+  for (let seed = 1; seed <= 6; seed += 1) {
+    const { world, users } = await startWorld('east', 'west', 'east', 'west', 'east');
+    const random = seededRandom(seed);
+    world.state.fate = (_, body) => {
+      if (changes(body).length === 0 || random(100) >= 50) return 'normal';
+      met.set(kindOf(body), (met.get(kindOf(body)) ?? 0) + 1);
+      return 'lose-answer';
+    };
+    world.state.applied = (body) => {
+      const id = jobOf(body);
+      if (id !== null) users.lookClosely(id, [...BURST, 200, 700, 1490, 1510, 1600]);
+    };
+    const ids = await workAndTakeover(world, users, random, () => (world.state.fate = () => 'normal'));
+    await askUntilOver(world, users, ids, 60);
+    assertClean(world);
+    assert.deepEqual(startsAfterCancellation(world), []);
+    for (const id of ids) assert.notEqual(users.finalOf(id), null, `${id} is over (seed ${seed})`);
+  }
+  assertMet(met);
+});
+
+test('transactions without an answer are carried out 2 to 12 s late, after newer ones', async () => {
+  const met = new Map<Kind, number>();
+  for (let seed = 1; seed <= 8; seed += 1) {
+    const { world, users } = await startWorld('east', 'west', 'east', 'west', 'east');
+    const random = seededRandom(seed);
+    world.state.fate = (_, body) => {
+      if (changes(body).length === 0 || random(100) >= 30) return 'normal';
+      met.set(kindOf(body), (met.get(kindOf(body)) ?? 0) + 1);
+      return { holdMs: 2000 + random(10_000) };
+    };
+    world.state.applied = (body) => {
+      const id = jobOf(body);
+      if (id !== null) users.lookClosely(id, BURST);
+    };
+    const ids = await workAndTakeover(world, users, random, () => (world.state.fate = () => 'normal'));
+    await askUntilOver(world, users, ids, 60);
+    assertClean(world);
+    assert.deepEqual(startsAfterCancellation(world), []);
+    for (const id of ids) assert.notEqual(users.finalOf(id), null, `${id} is over (seed ${seed})`);
+  }
+  assertMet(met);
+});
+
+/** Holds back the first transaction of a kind; the next ones pass. */
+function holdFirst(world: World, kind: Kind, holdMs: number): void {
+  let held = false;
+  world.state.fate = (_, body) => {
+    if (held || kindOf(body) !== kind) return 'normal';
+    held = true;
+    return { holdMs };
+  };
+}
+
+test('a late copy of a submission, a cancellation or an end finds that its job is over and changes nothing', async () => {
+  for (const kind of ['submission', 'cancellation', 'end'] as const) {
+    for (let holdMs = 2000; holdMs <= 12_000; holdMs += 2500) {
+      const { world, users } = await startWorld('east', 'west', 'east');
+      await world.step(500);
+      holdFirst(world, kind, holdMs);
+      const submitted = persist(world, 0, (node) => users.submit(node, 'req-1', { runMs: 400 }));
+      await answered(world, submitted);
+      if (kind !== 'submission')
+        await answered(
+          world,
+          persist(world, 1, (n) => users.abort(n, 'req-1')),
+        );
+      await askUntilOver(world, users, ['req-1'], 10);
+      await world.step(14_000);
+      await askUntilOver(world, users, ['req-1'], 5);
+      assertClean(world);
+      assert.notEqual(users.finalOf('req-1'), null);
+      assert.equal(world.lines.filter((l) => l.includes(' runs req-1/0')).length <= 1, true, 'runs once');
+    }
+  }
+});
+
+test('a cancellation, questions and a repeated submission meet the end of the last task, every 5 ms', async () => {
+  const { world, users } = await startWorld('east', 'west', 'east', 'west');
+  const runMs = 1000;
+  const ids: string[] = [];
+  const trace = world.trace.bind(world);
+  world.trace = (line) => {
+    trace(line);
+    const started = / runs (req-(\d+))\/0$/.exec(line);
+    if (!started) return;
+    const [, id = '', number] = started;
+    const offset = -100 + 5 * Number(number);
+    world.clock.after(runMs + offset, () => {
+      const node = Number(number) % NODES.length;
+      void persist(world, node, (n) => users.abort(n, id));
+      users.lookClosely(id, [0, 5, 50, 300]);
+    });
+  };
+  for (let i = 0; i <= 120; i += 1) {
+    ids.push(`req-${i}`);
+    void persist(world, i % 3, (node) => users.submit(node, `req-${i}`, { cpus: 1, runMs }));
+    await world.step(300);
+  }
+  await askUntilOver(world, users, ids, 20);
+  assertClean(world);
+  const finals = ids.map((id) => users.finalOf(id));
+  const count = (state: string): number => finals.filter((f) => f === state).length;
+  assert.equal(count('done') + count('cancelled'), ids.length, 'every job is over');
+  assert.ok(count('done') >= 10 && count('cancelled') >= 10, 'the walk crosses the end');
+});
+
+test('a hand-over without an answer keeps its tasks from starting here, for it may be carried out late', async () => {
+  for (let holdMs = 3000; holdMs <= 9000; holdMs += 1500) {
+    const { world, users } = await startWorld('east', 'west');
+    const full = { tasks: 4, team: 'blue' };
+    await answered(world, users.submit(0, 'req-1', { ...full, zone: 'east', runMs: 4500 }));
+    await answered(world, users.submit(1, 'req-2', { ...full, zone: 'west', runMs: 2500 }));
+    await world.step(1000);
+    // Accepted while nobody has room; the west has room first, and then the east.
+    await answered(world, users.submit(0, 'req-3', { runMs: 15_000 }));
+    let held = 0;
+    world.state.fate = (_, body) => {
+      if (kindOf(body) !== 'progress or hand-over' || !JSON.stringify(body).includes('req-3'))
+        return 'normal';
+      held += 1;
+      return { holdMs };
+    };
+    await askUntilOver(world, users, ['req-1', 'req-2', 'req-3'], 40);
+    assert.ok(held > 0, 'the job was handed over');
+    assertClean(world);
+    assert.equal(world.lines.filter((l) => l.includes(' runs req-3/0')).length, 1);
+  }
+});
