A read answered late brings no ended job back, and a cancellation no longer overwrites done

Two real faults, found while walking a cancellation over the end of a job's last task: - A read of a job's record that the state service had answered before the job ended, and that arrived after the feed had shown the end, was learned by the view. View.learn now ignores everything up to the revision that the feed has reached. - When such a read came before the feed but after our own write of the end, the cancellation went on with the version that the view knew, none: 'the key must not exist' held, and the final state done was overwritten by cancelled. abortFresh now looks again instead. Stand-ins, additive: delayed answers, the time of a look at the changes, 410 once; clocks that run at their own rate; leases kept to the millisecond; machines that hang and carry out what reached them when they go on; slow connections; a record of who commands when.

--- a/src/jobs/desk.ts
+++ b/src/jobs/desk.ts
@@ -203,7 +203,9 @@
     if (standing.kind === 'unclear') return BUSY;
     if (standing.kind === 'absent') return { status: 404, body: { error: 'no such job' } };
     if (standing.kind === 'final') return { status: 200, body: encodeAccepted(id, standing.state) };
-    return this.abortAt(id, this.core.view.version(liveKey(id)));
+    // The job ended while the answer was on its way: a drop of a key that is gone would overwrite its final state.
+    const version = this.core.view.version(liveKey(id));
+    return version === NO_REVISION ? null : this.abortAt(id, version);
   }
 
   /** null: the record has changed since that version. */
--- a/src/state/view.ts
+++ b/src/state/view.ts
@@ -35,9 +35,12 @@
     yield* this.groups.get(prefix)?.values() ?? [];
   }
 
-  /** One fact, from the feed, a read, or our own committed write. Older facts change nothing. */
+  /**
+   * One fact, from the feed, a read, or our own committed write. Older facts change nothing; neither does one that the
+   * feed has passed: a read that is answered late must not bring back a key that was dropped since.
+   */
   learn(key: StateKey, value: unknown, version: Revision): void {
-    const known = Math.max(this.version(key), this.dropped.get(key) ?? 0);
+    const known = Math.max(this.revision, this.version(key), this.dropped.get(key) ?? 0);
     if (version <= known) return;
     if (value === undefined) {
       if (version > this.revision) this.dropped.set(key, version);
--- a/test/standins/clock.ts
+++ b/test/standins/clock.ts
@@ -86,5 +86,14 @@
 
 const before = (a: Event, b: Event): boolean => a.at < b.at || (a.at === b.at && a.order < b.order);
 
+/** The steady clock of one machine, which runs at `rate` times the speed of `clock`; its timers too. */
+export function clockAt(clock: SimClock, rate: number): SimClock {
+  const from = clock.now();
+  const own = Object.create(clock) as SimClock;
+  own.now = () => (from + (clock.now() - from) * rate) as SteadyMs;
+  own.after = (delay, run) => clock.after(delay / rate, run);
+  return own;
+}
+
 /** Lets every promise that can go on do so. */
 export const settle = (): Promise<void> => new Promise((resolve) => setImmediate(resolve));
--- a/test/standins/state.ts
+++ b/test/standins/state.ts
@@ -83,6 +83,12 @@
   readonly cut = new Set<string>();
   /** How much longer than others requests for leases take. */
   leaseDelay = 0;
+  /** How much longer the answers to a node's reads are on their way, once they say what holds. */
+  answerDelay: (node: string, path: string) => number = () => 0;
+  /** A node's look at the changes is answered from what holds now; `blockMs`: how long it would have waited. */
+  followed: (node: string, blockMs: number) => void = () => undefined;
+  /** Nodes whose next look at the changes is told that they must read everything again. */
+  readonly tooOld = new Set<string>();
   /** How long a transaction takes before it is applied. */
   slow: (body: TxnBody) => number = () => 0;
   /** Decides the fate of a transaction: lose its answer, or hold it back for some milliseconds. */
@@ -139,7 +145,10 @@
     if (this.outage || this.refused.has(node)) return answer(503, {});
     if (call.path === '/txn') return this.txn(node, call);
     await this.clock.sleep(3 + (call.path.startsWith('/leases') ? this.leaseDelay : 0));
-    return this.other(call);
+    const result = this.other(call);
+    const delay = this.answerDelay(node, call.path);
+    if (delay > 0) await this.clock.sleep(delay);
+    return result;
   }
 
   private async txn(node: string, call: Call): Promise<Outcome> {
@@ -255,6 +264,7 @@
     const block = Number(url.searchParams.get('blockMs') ?? 0);
     const silent = (): boolean => this.outage || this.refused.has(node) || this.cut.has(node);
     if (silent()) return answer(503, {});
+    if (this.tooOld.delete(node)) return answer(410, {});
     const news = (): typeof this.history => {
       let first = this.history.length;
       while (first > 0 && (this.history[first - 1]?.entry ?? 0) > from) first -= 1;
@@ -273,6 +283,13 @@
         this.clock.after(silent() ? 200 : Math.max(1, ends - this.clock.now()), done);
       });
     }
+    this.followed(node, block);
+    const delay = this.answerDelay(node, call.path);
+    if (delay > 0) {
+      const result = answer(200, { ledger: this.ledger, news: news() });
+      await this.clock.sleep(delay);
+      return result;
+    }
     await this.clock.sleep(2);
     return answer(200, { ledger: this.ledger, news: news() });
   }
--- a/test/standins/worker.ts
+++ b/test/standins/worker.ts
@@ -29,6 +29,8 @@
   readonly clock: SimClock;
   readonly reportMs: number;
   readonly leaseMs: number;
+  /** Whether its lease ends to the millisecond, and what reaches it while it hangs waits until it goes on. */
+  readonly exact: boolean;
   /** The nodes' answers to a report; null: nothing answers. */
   readonly report: (node: number, from: WorkerStandin, body: unknown) => Promise<Answer | null>;
   readonly nodes: readonly string[];
@@ -50,6 +52,9 @@
   /** A hanging machine executes nothing, and may go on within its lease. */
   hanging = false;
   noticeAt: number | null = null;
+  private leaseTimer: { cancel(): void } | null = null;
+  /** Direct requests and answers that came while it hangs, in their order. */
+  private readonly held: (() => void)[] = [];
   readonly images = new Set<string>();
 
   constructor(
@@ -62,6 +67,7 @@
     private readonly world: WorkerWorld,
   ) {
     this.leaseFrom = world.clock.now();
+    this.watchLease();
     world.clock.after(10, () => void this.run());
   }
 
@@ -105,6 +111,41 @@
     this.forgetTasks();
     this.session += 1;
     this.leaseFrom = clock.now();
+    this.watchLease();
+  }
+
+  private watchLease(): void {
+    if (!this.world.exact) return;
+    this.leaseTimer?.cancel();
+    const left = this.leaseFrom + this.world.leaseMs - this.world.clock.now();
+    this.leaseTimer = this.world.clock.after(left + 1e-3, () => {
+      if (this.alive) this.expire();
+    });
+  }
+
+  /** It executes nothing until it goes on. */
+  hang(): void {
+    this.hanging = true;
+    this.world.trace(`${this.id} hangs`);
+  }
+
+  /** It goes on where it was, unless its lease has ended meanwhile; first with what has come in the meantime. */
+  goOn(): void {
+    if (!this.hanging) return;
+    this.hanging = false;
+    this.world.trace(`${this.id} goes on`);
+    if (this.alive) this.expire();
+    for (const act of this.held.splice(0)) act();
+  }
+
+  /** A request that reaches the machine while it hangs; nobody waits for its answer any more. */
+  holdUntilItGoesOn(call: Call): void {
+    this.held.push(() => void this.arrive(call));
+  }
+
+  private untilItGoesOn(): Promise<void> {
+    if (!this.hanging || !this.world.exact) return Promise.resolve();
+    return new Promise((resolve) => this.held.push(resolve));
   }
 
   private async run(): Promise<void> {
@@ -118,7 +159,7 @@
       const sent = clock.now();
       const session = this.session;
       const timeout = clock.sleep(4000).then(() => null);
-      const answer = await Promise.race([this.world.report(this.node, this, this.body()), timeout]);
+      const answer = await Promise.race([this.answerTo(this.body()), timeout]);
       this.expire();
       if (answer?.status === 200 && session === this.session && !this.hanging) this.accept(answer.body, sent);
       else if (answer?.status === 421) this.redirect(answer.body);
@@ -127,6 +168,12 @@
     }
   }
 
+  private async answerTo(body: unknown): Promise<Answer | null> {
+    const answer = await this.world.report(this.node, this, body);
+    if (this.hanging) await this.untilItGoesOn();
+    return answer;
+  }
+
   private redirect(body: unknown): void {
     const to = this.world.nodes.indexOf((body as { harbormaster?: string }).harbormaster ?? '');
     this.node = to < 0 || to === this.node ? (this.node + 1) % this.world.nodes.length : to;
@@ -137,6 +184,7 @@
     if (reply.helm < this.token) return;
     this.token = reply.helm;
     this.leaseFrom = sent;
+    this.watchLease();
     for (const o of reply.orders) this.execute(o);
   }
 
--- a/test/standins/world.ts
+++ b/test/standins/world.ts
@@ -5,7 +5,7 @@
 import { silentLog } from '../../src/log.js';
 import { parseSettings, parseTuning, type Settings } from '../../src/settings/settings.js';
 import type { Incarnation } from '../../src/units.js';
-import { SimClock, settle } from './clock.js';
+import { clockAt, SimClock, settle } from './clock.js';
 import { Judge, type TeamLimit } from './judge.js';
 import { frame } from '../../src/mesh/mesh.js';
 import { Meter, StateStandin, type Limits } from './state.js';
@@ -22,6 +22,8 @@
   readonly state: Limits;
   readonly cloudRps: number;
   readonly connections: number;
+  /** Whether workers keep their lease to the millisecond, and hanging ones what reaches them. */
+  readonly exact?: boolean;
   /** Whether reports are kept for late copies. */
   readonly copies: boolean;
   readonly judgeMs: number;
@@ -128,6 +130,12 @@
   readonly answered = new Map<string, number[]>();
   /** Direct orders that get no answer and arrive this much later. */
   holdOrders: (node: number, worker: string) => number | null = () => null;
+  /** How fast the clock of a node or a machine runs; asked when it starts. */
+  clockRate: (who: string) => number = () => 1;
+  /** How long a connection from a node to a machine takes. */
+  connectMs: (node: number, worker: string) => number = () => 0;
+  /** A node answers a report with 200, or sends orders to a machine. */
+  commanded: (node: number, worker: string, how: 'answer' | 'direct') => void = () => undefined;
   cloudOutage = false;
   capacity = 0;
   rentals: unknown[] = [];
@@ -162,7 +170,7 @@
     node.controller = new Controller(
       settings,
       parseTuning(this.shape.tuning, 'none'),
-      this.clockOf(node, life),
+      this.clockOf(n, node, life),
       silentLog(),
       this.ports(n, life, settings),
     );
@@ -171,8 +179,9 @@
   }
 
   /** Timers of a process that ended never fire. */
-  private clockOf(node: Node, life: number): SimClock {
-    const { clock } = this;
+  private clockOf(n: number, node: Node, life: number): SimClock {
+    const rate = this.clockRate(`n${n}`);
+    const clock = rate === 1 ? this.clock : clockAt(this.clock, rate);
     const guarded = Object.create(clock) as SimClock;
     guarded.now = () => clock.now();
     guarded.after = (delay, run) => clock.after(delay, () => (node.life === life ? run() : undefined));
@@ -234,8 +243,16 @@
 
   private async callOnce(n: number, address: string, call: Call): Promise<Outcome> {
     const worker = this.workers.get(this.byAddress.get(address) ?? '');
-    await this.clock.sleep(1);
+    const connecting = worker ? this.connectMs(n, worker.id) : 0;
+    await this.clock.sleep(1 + connecting);
+    if (call.mayStillSend?.() === false) return { kind: 'unsent' };
+    if (worker && call.path === '/orders') this.commanded(n, worker.id, 'direct');
     const hold = worker ? this.holdOrders(n, worker.id) : null;
+    if (worker?.hanging && this.shape.exact && !this.cut(`n${n}`, worker.id)) {
+      worker.holdUntilItGoesOn(call);
+      await this.clock.sleep(call.timeout);
+      return { kind: 'unknown' };
+    }
     const unreached = !worker || worker.hanging || this.deaf.has(worker.id) || this.cut(`n${n}`, worker.id);
     if (unreached || hold !== null) {
       if (hold !== null) this.clock.after(hold, () => worker?.arrive(call));
@@ -310,8 +327,10 @@
   private boot(id: string, type: string, zone: string, spot: boolean): void {
     this.born.set(id, this.clock.now());
     const number = Number(id.slice(2));
+    const rate = this.clockRate(id);
     const world: WorkerWorld = {
-      clock: this.clock,
+      clock: rate === 1 ? this.clock : clockAt(this.clock, rate),
+      exact: this.shape.exact ?? false,
       reportMs: this.shape.reportS * 1000,
       leaseMs: this.shape.leaseS * 1000,
       nodes: this.nodes.map((_, n) => `n${n}`),
@@ -351,6 +370,7 @@
     if (this.shape.copies)
       this.answered.set(from.id, [...(this.answered.get(from.id) ?? []), answer?.status ?? 0]);
     if (answer?.status !== 200) this.seen.refusedReports += 1;
+    else this.commanded(n, from.id, 'answer');
     return this.cut(`n${n}`, from.id) || this.deaf.has(from.id) ? null : answer;
   }
 
