--- a/src/http/client.ts
+++ b/src/http/client.ts
@@ -16,12 +16,16 @@
   readonly path: string;
   readonly body?: unknown;
   readonly timeout: Millis;
+  /** Asked at the moment of writing, after every wait for a turn or a connection; false: it is not sent. */
+  readonly mayStillSend?: () => boolean;
 }
 
 interface Link {
   readonly socket: Socket;
   parser: HttpParser;
   connected: boolean;
+  /** Writes the request that waits for the connection. */
+  whenConnected: (() => void) | null;
   current: { resolve: (o: Outcome) => void; timer: NodeJS.Timeout; sent: boolean } | null;
 }
 
@@ -82,10 +86,17 @@
     this.open += 1;
     this.sockets.open += 1;
     const socket = connect({ ...splitAddress(this.address), noDelay: true });
-    const link: Link = { socket, parser: this.newParser(), connected: false, current: null };
+    const link: Link = {
+      socket,
+      parser: this.newParser(),
+      connected: false,
+      whenConnected: null,
+      current: null,
+    };
     socket.on('connect', () => {
       link.connected = true;
-      if (link.current) link.current.sent = true;
+      link.whenConnected?.();
+      link.whenConnected = null;
     });
     socket.on('data', (data) => this.receive(link, data));
     socket.on('error', () => this.drop(link));
@@ -103,7 +114,15 @@
 
   private send(link: Link, call: Call, resolve: (o: Outcome) => void): void {
     const timer = setTimeout(() => this.drop(link), call.timeout);
-    link.current = { resolve, timer, sent: link.connected };
+    link.current = { resolve, timer, sent: false };
+    if (link.connected) this.write(link, call);
+    else link.whenConnected = () => this.write(link, call);
+  }
+
+  private write(link: Link, call: Call): void {
+    if (!link.current) return;
+    if (call.mayStillSend?.() === false) return this.drop(link);
+    link.current.sent = true;
     const body = call.body === undefined ? '' : JSON.stringify(call.body);
     const type = call.body === undefined ? '' : 'Content-Type: application/json\r\n';
     link.socket.write(
--- a/src/workers/desk.ts
+++ b/src/workers/desk.ts
@@ -241,6 +241,8 @@
       path: '/orders',
       body,
       timeout: machine.settled ? DIRECT_TIMEOUT : CLAIM_TIMEOUT,
+      // The connection may take so long that we are not entitled any more when it is there.
+      mayStillSend: () => this.core.authority(this.core.clock.now()),
     });
     await this.core.exclusive(() => {
       machine.directBusy = false;
--- a/test/http.test.ts
+++ b/test/http.test.ts
@@ -175,3 +175,34 @@
   assert.deepEqual(kinds, Array(10).fill('answer'));
   assert.equal(kept, 3);
 });
+
+test('what may not be sent any more is not: after the wait for a turn, and after the wait for a connection', async () => {
+  const received: string[] = [];
+  const server = createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.on('data', (data) => {
+      received.push(data.toString('latin1').split(' ')[1] ?? '');
+      setTimeout(() => socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}'), 50);
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const client = new HttpClient(`127.0.0.1:${(server.address() as AddressInfo).port}` as Address, 1);
+  let entitled = true;
+  const call = (path: string) =>
+    client.call({ method: 'POST', path, body: {}, timeout: millis(5000), mayStillSend: () => entitled });
+  const connecting = call('/connecting');
+  entitled = false;
+  assert.deepEqual(await connecting, { kind: 'unsent' });
+  entitled = true;
+  const first = call('/first');
+  const queued = call('/queued');
+  while (received.length === 0) await new Promise((resolve) => setTimeout(resolve, 1));
+  entitled = false;
+  assert.equal((await first).kind, 'answer');
+  assert.deepEqual(await queued, { kind: 'unsent' });
+  entitled = true;
+  assert.equal((await call('/last')).kind, 'answer');
+  client.close();
+  await new Promise((resolve) => server.close(resolve));
+  assert.deepEqual(received, ['/first', '/last']);
+});
