--- a/src/workers/direct-orders.ts
+++ b/src/workers/direct-orders.ts
@@ -85,6 +85,8 @@
       path: '/orders',
       body,
       timeout: machine.settled ? CALL_TIMEOUT : CLAIM_CALL_TIMEOUT,
+      // The connection may take so long that we are not entitled any more when it is there.
+      mayStillSend: () => this.core.authority(this.core.clock.now()),
     });
     await this.core.exclusive(() => {
       machine.directBusy = false;
--- a/test/judge.test.ts
+++ b/test/judge.test.ts
@@ -36,8 +36,8 @@
   }
 
   ask(method: string, path: string, status: number, state?: string, body?: unknown): void {
-    this.judge.asked(method, path, body);
-    this.judge.answered({ method, path, status, state }, body);
+    const question = this.judge.asked(method, path, body);
+    this.judge.answered({ method, path, status, state }, body, question);
   }
 
   get(status: number, state?: string): void {
@@ -168,3 +168,15 @@
   });
   breaks(/^went_back req-1: cancelled, and its user did not/, (b) => b.get(200, 'cancelled'));
 });
+
+test('an answer that another one overtakes may be older; one to a later question may not', () => {
+  const b = new Bench();
+  b.accept();
+  const path = '/v2/runs/req-1';
+  const early = b.judge.asked('GET', path, undefined);
+  b.cancel();
+  b.judge.answered({ method: 'GET', path, status: 200, state: 'running' }, undefined, early);
+  assert.deepEqual(b.broken, []);
+  b.get(200, 'running');
+  assert.deepEqual(b.broken, ['went_back req-1: cancelled then running']);
+});
--- a/test/standins/judge.ts
+++ b/test/standins/judge.ts
@@ -40,6 +40,12 @@
   readonly state: unknown;
 }
 
+/** What users had been told of a job when a question about it was sent. */
+export interface Question {
+  readonly known: boolean;
+  readonly final: string | null;
+}
+
 /** Everything known of one job from outside. */
 interface Case {
   readonly id: string;
@@ -115,38 +121,43 @@
   }
 
   /** A user sends a request, whatever becomes of it. */
-  asked(method: string, path: string, body: unknown): void {
-    if (method !== 'POST') return;
+  asked(method: string, path: string, body: unknown): Question {
     const id = path === '/v2/runs' ? uidOf(body) : idIn(path);
-    if (id === null) return;
+    if (id === null) return { known: false, final: null };
     const about = this.caseOf(id);
-    if (path === '/v2/runs') about.submitted = true;
-    else if (path.endsWith('/abort')) about.cancelAsked = true;
+    if (method === 'POST' && path === '/v2/runs') about.submitted = true;
+    else if (method === 'POST' && path.endsWith('/abort')) about.cancelAsked = true;
+    return { known: about.known, final: about.final };
   }
 
-  /** A user hears an answer. The order of these calls, over all nodes, is the order that `went_back` speaks of. */
-  answered(exchange: Exchange, body: unknown): void {
+  /**
+   * A user hears an answer. It may not be older than what any user had been told, at any node, when the question was
+   * sent; an answer that another one overtakes on its way may be.
+   */
+  answered(exchange: Exchange, body: unknown, question: Question): void {
     const { method, path, status, state } = exchange;
     const id = path === '/v2/runs' ? uidOf(body) : idIn(path);
     if (id === null) return;
     const about = this.caseOf(id);
-    if (status === 404 && about.known) this.breaks(`forgotten ${id}: 404`);
-    if (path === '/v2/runs' && method === 'POST' && about.known && (status === 400 || status === 422))
+    if (status === 404 && question.known) this.breaks(`forgotten ${id}: 404`);
+    if (path === '/v2/runs' && method === 'POST' && question.known && (status === 400 || status === 422))
       this.breaks(`forgotten ${id}: a repeated submission got ${status}`);
     if (status !== 200 && status !== 201) return;
     if (!about.submitted) this.breaks(`invented ${id}`);
     about.known = true;
-    this.heardState(about, String(state));
+    this.heardState(about, String(state), question);
   }
 
-  private heardState(about: Case, state: string): void {
-    const { id, final, job } = about;
-    if (final !== null && state !== final) this.breaks(`went_back ${id}: ${final} then ${state}`);
+  private heardState(about: Case, state: string, question: Question): void {
+    const { id, job } = about;
+    const isFinal = state === 'done' || state === 'cancelled';
+    const before = isFinal ? about.final : question.final;
+    if (before !== null && state !== before) this.breaks(`went_back ${id}: ${before} then ${state}`);
     if (state === 'cancelled' && !about.cancelAsked)
       this.breaks(`went_back ${id}: cancelled, and its user did not cancel it`);
     if (state === 'done' && job && about.done.size < job.tasks)
       this.breaks(`not_done ${id}: ${about.done.size} of ${job.tasks} tasks`);
-    if (state !== 'done' && state !== 'cancelled') return;
+    if (!isFinal) return;
     about.final ??= state;
     if (state !== 'cancelled' || about.cancelledAt !== null) return;
     about.cancelledAt = this.now();
--- a/test/standins/world.ts
+++ b/test/standins/world.ts
@@ -5,7 +5,7 @@
 import { silentLog } from '../../src/log.js';
 import { parseSettings, parseTuning, type Settings } from '../../src/settings/settings.js';
 import type { Incarnation } from '../../src/units.js';
-import { SimClock, settle } from './clock.js';
+import { clockAt, SimClock, settle } from './clock.js';
 import { Judge, type TeamLimit } from './judge.js';
 import { frame } from '../../src/mesh/mesh.js';
 import { Meter, StateStandin, type Limits } from './state.js';
@@ -36,6 +36,8 @@
   readonly state: Limits;
   readonly cloudRps: number;
   readonly connections: number;
+  /** Whether workers keep their lease to the millisecond, and hanging ones what reaches them. */
+  readonly exact?: boolean;
   /** Whether reports are kept for late copies. */
   readonly copies: boolean;
   readonly judgeMs: number;
@@ -158,6 +160,12 @@
   private readonly keptOrders = new Map<string, Call[]>();
   /** One way between a controller and a worker, in milliseconds. */
   linkMs = 1;
+  /** How fast the clock of a node or a machine runs; asked when it starts. */
+  clockRate: (who: string) => number = () => 1;
+  /** How long a connection from a node to a machine takes. */
+  connectMs: (node: number, worker: string) => number = () => 0;
+  /** A node answers a report with 200, or sends orders to a machine. */
+  commanded: (node: number, worker: string, how: 'answer' | 'direct') => void = () => undefined;
   cloudOutage = false;
   capacity = 0;
   rentals: unknown[] = [];
@@ -196,7 +204,7 @@
     node.controller = new Controller(
       settings,
       parseTuning(this.shape.tuning, 'none'),
-      this.clockOf(node, life),
+      this.clockOf(n, node, life),
       silentLog(),
       this.ports(n, life, settings),
     );
@@ -205,8 +213,9 @@
   }
 
   /** Timers of a process that ended never fire. */
-  private clockOf(node: Node, life: number): SimClock {
-    const { clock } = this;
+  private clockOf(n: number, node: Node, life: number): SimClock {
+    const rate = this.clockRate(`n${n}`);
+    const clock = rate === 1 ? this.clock : clockAt(this.clock, rate);
     const guarded = Object.create(clock) as SimClock;
     guarded.now = () => clock.now();
     guarded.after = (delay, run) => clock.after(delay, () => (node.life === life ? run() : undefined));
@@ -268,8 +277,16 @@
 
   private async callOnce(n: number, address: string, call: Call): Promise<Outcome> {
     const worker = this.workers.get(this.byAddress.get(address) ?? '');
-    await this.clock.sleep(this.linkMs);
+    const connecting = worker ? this.connectMs(n, worker.id) : 0;
+    await this.clock.sleep(this.linkMs + connecting);
+    if (call.mayStillSend?.() === false) return { kind: 'unsent' };
+    if (worker && call.path === '/orders') this.commanded(n, worker.id, 'direct');
     const hold = worker ? this.holdOrders(n, worker.id, call) : null;
+    if (worker?.hanging && this.shape.exact && !this.cut(`n${n}`, worker.id)) {
+      worker.holdUntilItGoesOn(call);
+      await this.clock.sleep(call.timeout);
+      return { kind: 'unknown' };
+    }
     if (worker?.hanging && this.hangingKeepsOrders) {
       this.keptOrders.set(worker.id, [...(this.keptOrders.get(worker.id) ?? []), call]);
       await this.clock.sleep(call.timeout);
@@ -364,8 +381,10 @@
   private boot(id: string, type: string, zone: string, spot: boolean): void {
     this.born.set(id, this.clock.now());
     const number = Number(id.slice(2));
+    const rate = this.clockRate(id);
     const world: WorkerWorld = {
-      clock: this.clock,
+      clock: rate === 1 ? this.clock : clockAt(this.clock, rate),
+      exact: this.shape.exact ?? false,
       reportMs: this.shape.reportS * 1000,
       leaseMs: this.shape.leaseS * 1000,
       nodes: this.nodes.map((_, n) => `n${n}`),
@@ -412,6 +431,7 @@
     if (this.shape.copies)
       this.answered.set(from.id, [...(this.answered.get(from.id) ?? []), answer?.status ?? 0]);
     if (answer?.status !== 200) this.seen.refusedReports += 1;
+    else this.commanded(n, from.id, 'answer');
     return this.cut(`n${n}`, from.id) || this.deaf.has(from.id) ? null : answer;
   }
 
@@ -419,13 +439,13 @@
     const handler = this.nodes[n]?.handler;
     if (!handler) return null;
     const raw = Buffer.from(body === undefined ? '' : JSON.stringify(body));
-    this.judge.asked(method, path, body);
+    const question = this.judge.asked(method, path, body);
     const answer = await handler({ method, path, body: raw });
     const said = JSON.parse(JSON.stringify(answer.body)) as unknown;
     // What a process that has ended was about to say reaches nobody.
     if (this.nodes[n]?.handler === handler) {
       const state = (said as Record<string, unknown> | null)?.['status'];
-      this.judge.answered({ method, path, status: answer.status, state }, body);
+      this.judge.answered({ method, path, status: answer.status, state }, body, question);
     }
     return { ...answer, body: said };
   }
