--- a/src/parts/model.ts
+++ b/src/parts/model.ts
@@ -111,6 +111,8 @@
   missedCalls: number;
   /** When we first answered a report of it that did not show our token yet. */
   answeredUnsettled: SteadyMs | null;
+  /** Receipt of the last report that we refused because our answers do not reach the machine. */
+  refusedDeaf: SteadyMs | null;
   /** No new tasks before this time: it refused, failed or could not be reached. */
   avoidUntil: SteadyMs;
   faults: { at: SteadyMs; job: JobId }[];
@@ -398,6 +400,7 @@
     unreachedSince: null,
     missedCalls: 0,
     answeredUnsettled: null,
+    refusedDeaf: null,
     avoidUntil: now,
     faults: [],
     draining: false,
--- a/src/parts/ownership.ts
+++ b/src/parts/ownership.ts
@@ -13,7 +13,7 @@
   partKey,
   TOKEN_KEY,
 } from './records.js';
-import { newMachine, Part, syncJob } from './model.js';
+import { newMachine, Part, syncJob, type Machine } from './model.js';
 
 /** What a decision on one part looks at. */
 export interface ClaimFacts {
@@ -257,7 +257,9 @@
       if (this.busy.has(part.id) || now - part.claimedAt < 8000) continue;
       const limit = Math.max(3.2 * this.core.reportMs, 4500);
       const machines = [...part.machines.values()].filter((m) => !m.returning && now - m.since > limit);
-      const silent = machines.filter((m) => m.lastReport === null || now - m.lastReport > limit);
+      // What we refuse because it does not hear us does reach us: a new owner would have to wait for it all over again.
+      const heardAt = (m: Machine): number => Math.max(m.lastReport ?? -Infinity, m.refusedDeaf ?? -Infinity);
+      const silent = machines.filter((m) => now - heardAt(m) > limit);
       if (machines.length < 2 || silent.length * 3 < machines.length * 2) continue;
       if (!this.othersDoBetter(part.id)) continue;
       this.busy.add(part.id);
--- a/src/workers/desk.ts
+++ b/src/workers/desk.ts
@@ -81,7 +81,11 @@
       this.outranked(part, now);
       return { status: 421, body: encodeRedirect(null) };
     }
-    if (!this.core.authority(now) || this.isDeaf(part, machine, report, now)) return REFUSE;
+    if (!this.core.authority(now)) return REFUSE;
+    if (this.isDeaf(part, machine, report, now)) {
+      machine.refusedDeaf = now;
+      return REFUSE;
+    }
     if (!applyReport(part, machine, report, 'report', this.context(now))) return REFUSE;
     const orders = ordersInAnswer(part, machine);
     if (!machine.settled) {
--- a/test/takeover-meetings.test.ts
+++ b/test/takeover-meetings.test.ts
@@ -7,7 +7,7 @@
 import type { Call, Outcome } from '../src/http/client.js';
 import type { StateStandin } from './standins/state.js';
 import type { WorkerStandin } from './standins/worker.js';
-import { SMALL, World } from './standins/world.js';
+import { SMALL, World, type JobOptions } from './standins/world.js';
 
 type Transaction = Parameters<StateStandin['apply']>[0];
 
@@ -171,13 +171,13 @@
 const partOf = (w: World, machine: string): number =>
   (w.state.rows.get(`c/machines/${machine}`)?.data as { part: number } | undefined)?.part ?? -1;
 
-/** Both teams at their limits of 24 CPUs, in every part; as much again waits, with room for all of it. */
+/** Both teams at their limits of 24 CPUs; as much again waits, with room for all of it on machines that are free. */
 async function teamsAtTheirLimits(): Promise<MeetingWorld> {
   const w = await worldWith(8, 4);
   for (const team of ['red', 'blue']) await w.submit(0, `req-${team}`, { team, tasks: 12, runMs: 600_000 });
   await w.until('both are at their limits', () => w.runningOf('req-red') + w.runningOf('req-blue') === 24);
   for (const team of ['red', 'blue'])
-    await w.submit(1, `req-next-${team}`, { team, tasks: 12, runMs: 600_000 });
+    await w.submit(1, `req-next-${team}`, { team, tasks: 12, runMs: 600_000, image: 'another' });
   await w.step(1000);
   assert.equal(w.runningOf('req-next-red'), 0);
   return w;
@@ -226,14 +226,14 @@
       [2500, 30_000],
     ] as const) {
       const w = await teamsAtTheirLimits();
-      const lost = ['req-red', 'req-blue'].flatMap((job) => machinesOfPart(w, 0, job));
+      const lost = w.holdersOf('req-red').concat(w.holdersOf('req-blue'));
       strike(w, trouble, lost);
       w.clock.after(backAfter, () => recover(w, lost));
       await w.step(phase);
       for (const team of ['red', 'blue']) w.cancel(`req-${team}`, 1);
       await w.until('both are cancelled', () => bothCancelled(w));
       const running = await endLeader(w);
-      assert.ok(running >= 8, `tasks of cancelled jobs were there when the part was claimed: ${running}`);
+      assert.equal(running, 24, 'the tasks of the cancelled jobs were there when the part was claimed');
       await w.step(60_000);
       w.assertRules(`${trouble} ${phase} ms before the cancellation, over after ${backAfter} ms`);
       assert.equal(nextRunning(w), 24, `the limits are used again:\n${w.lines.join('\n')}`);
@@ -264,6 +264,47 @@
   });
 }
 
+test('1. all leaders end, a new one hears of tasks of cancelled jobs, and their machines hang', async () => {
+  for (const hangFor of [3000, 9000, 25_000]) {
+    const w = await teamsAtTheirLimits();
+    const holders = w.holdersOf('req-red').concat(w.holdersOf('req-blue'));
+    strike(w, 'cut', holders);
+    for (const team of ['red', 'blue']) w.cancel(`req-${team}`, 1);
+    await w.until('both are cancelled', () => bothCancelled(w));
+    for (const n of NODES) w.killNode(n);
+    let hanging = 0;
+    for (const m of holders) {
+      w.mute.add(m);
+      hangOnceAsked(w, m, () => {
+        hanging += 1;
+        w.clock.after(hangFor, () => recover(w, [m]));
+        w.clock.after(hangFor, () => w.mute.delete(m));
+      });
+    }
+    w.heal(holders);
+    await w.start();
+    await w.until('all have been asked and hang', () => hanging === holders.length);
+    assert.equal(w.runningOf('req-red') + w.runningOf('req-blue'), 24);
+    await w.step(60_000);
+    w.assertRules(`hanging for ${hangFor} ms`);
+    assert.equal(nextRunning(w), 24, `the limits are used again:\n${w.lines.join('\n')}`);
+  }
+});
+
+/** The machine answers the first order of a new leader, which shows what it holds, and then hangs. */
+function hangOnceAsked(w: MeetingWorld, machine: string, act: () => void): void {
+  const worker = w.worker(machine);
+  const arrive = worker.arrive.bind(worker);
+  worker.arrive = (call) => {
+    const outcome = arrive(call);
+    if (call.path !== '/orders') return outcome;
+    worker.arrive = arrive;
+    strike(w, 'hang', [machine]);
+    act();
+    return outcome;
+  };
+}
+
 test('2. a cancellation at every moment around the claim, with launches of the old leader in flight', async () => {
   // When the cancellation is asked for, and how long the claim then takes until it is applied (ms).
   for (const [asked, applied] of [
@@ -291,12 +332,10 @@
   await w.submit(0, 'req-over', { tasks: 4, zone: 'east', runMs: 60_000 });
   await w.until('launches of n0 are on their way', () => heldOrders > 0);
   let claimed = false;
-  w.state.slow = (body) => {
-    if (claimed || claimIn(body)?.part !== '0') return 0;
+  whenClaimArrives(w, applied, () => {
     claimed = true;
     w.clock.after(asked, () => w.cancel('req-over', 1));
-    return applied;
-  };
+  });
   w.killNode(0);
   await w.until('the claim is asked for', () => claimed);
   await w.step(45_000);
@@ -331,6 +370,54 @@
   }
 });
 
+const lastJob = { tasks: 2, zone: 'east', runMs: 40_000 };
+
+test('2. a leader without its leased key goes on until the claim commits; the claimant hears of it late', async () => {
+  for (const lag of [0, 700, 1400]) {
+    for (const cancelled of [false, true]) {
+      const w = await worldWith(4, 2);
+      refuseLeases(w, 'n0');
+      whenClaimArrives(w, 600, () => {
+        w.followLag = (node) => (node === 'n0' ? 0 : lag);
+        void w.request(0, 'POST', '/v2/runs', w.submission('req-last', lastJob));
+        if (cancelled) w.clock.after(400, () => w.cancel('req-last', 0));
+      });
+      let began = '';
+      w.onStart = (machine) => {
+        if (began !== '') return;
+        began = machine;
+        w.cutOff([machine], [1, 2]);
+      };
+      await w.until('n0 starts a job while its part is being claimed', () => began !== '');
+      assert.equal(w.ownerOf(0), 0, w.lines.join('\n'));
+      await w.step(60_000);
+      w.assertRules(`the feed ${lag} ms late, ${cancelled ? 'cancelled' : 'not cancelled'}`);
+      const done = w.lines.filter((l) => /ends req-last\/\d: done/.test(l)).length;
+      assert.equal(done, cancelled ? 0 : 2, w.lines.join('\n'));
+    }
+  }
+});
+
+/** Acts when the first claim of part 0 reaches the state service, which applies such claims so many ms later. */
+function whenClaimArrives(w: MeetingWorld, delayMs: number, act: () => void): void {
+  let arrived = false;
+  w.state.slow = (body) => {
+    if (claimIn(body)?.part !== '0') return 0;
+    if (!arrived) act();
+    arrived = true;
+    return delayMs;
+  };
+}
+
+/** The state service refuses a controller's leases, and serves all else: its key ends, and it goes on. */
+function refuseLeases(w: MeetingWorld, node: string): void {
+  const call = w.state.call.bind(w.state);
+  w.state.call = (from: string, request: Call): Promise<Outcome> => {
+    const refused = from === node && request.path.startsWith('/leases');
+    return refused ? Promise.resolve({ kind: 'answer', status: 503, body: {} }) : call(from, request);
+  };
+}
+
 test('3. a new machine gets work at once while writes lag, and its leader ends', async () => {
   const fates = ['normal', 'lose-answer', { holdMs: 700 }] as const;
   for (const fate of fates) {
@@ -373,3 +460,256 @@
   const done = w.lines.filter((l) => /ends req-new\/\d: done/.test(l)).length;
   assert.equal(done, 8, `every task is done once:\n${w.lines.join('\n')}`);
 }
+
+/** Kinds of reports, by what they say of the job: from before it ran there, of when it did, and the newest one. */
+type Kind = 'before' | 'running' | 'last';
+
+/** An earlier report of the machine, or null. */
+function earlierReport(w: MeetingWorld, machine: string, job: string, kind: Kind): object | null {
+  const sent = w.sent.get(machine) ?? [];
+  const shows = (report: object): boolean => JSON.stringify(report).includes(`"leg":"${job}/`);
+  if (kind === 'last') return sent.at(-1) ?? null;
+  if (kind === 'running') return sent.filter(shows).at(-1) ?? null;
+  const first = sent.findIndex(shows);
+  return (first < 0 ? sent.at(-1) : sent[first - 1]) ?? null;
+}
+
+function copyToAll(w: MeetingWorld, machine: string, job: string, kind: Kind): void {
+  const report = earlierReport(w, machine, job, kind);
+  if (report === null) return;
+  for (const n of NODES) void w.request(n, 'POST', '/agent/beat', report);
+}
+
+test('4. copies of old reports reach every controller just as a new leader begins', async () => {
+  for (const kinds of [
+    ['before', 'last'],
+    ['running', 'before'],
+    ['last', 'running', 'before'],
+  ] as const) {
+    for (const firstAfter of [0, 6, 12]) await copiesAtClaim(kinds, firstAfter);
+  }
+});
+
+async function copiesAtClaim(kinds: readonly Kind[], firstAfter: number): Promise<void> {
+  const w = await worldWith(4, 2);
+  await w.submit(0, 'req-long', { tasks: 1, zone: 'east', runMs: 600_000 });
+  await w.until('it runs', () => w.runningOf('req-long') === 1);
+  const [first] = w.holdersOf('req-long') as [string];
+  const part = partOf(w, first);
+  // It moves on: copies from the first machine say that it is still there.
+  w.cutOff([first]);
+  await w.until(
+    'its lease is over and it runs elsewhere',
+    () => w.lines.filter((l) => / runs /.test(l)).length === 2,
+  );
+  w.heal([first]);
+  await w.step(4000);
+  const [second] = w.holdersOf('req-long') as [string];
+  assert.equal(partOf(w, second), part);
+  const deliver = (): void => {
+    for (const kind of kinds) for (const m of [first, second]) copyToAll(w, m, 'req-long', kind);
+  };
+  w.atTakeover(part, () => {
+    for (const after of [0, 4, 8, 16, 100, 1000, 5000, 11_000, 12_500])
+      w.clock.after(firstAfter + after, deliver);
+  });
+  w.cutOff([second]);
+  w.killNode(part);
+  await w.until('the part has a new leader', () => w.ownerOf(part) !== part);
+  await w.step(4000);
+  w.heal([second]);
+  await w.step(50_000);
+  w.assertRules(`copies: ${kinds.join(', ')}, from ${firstAfter} ms after the claim`);
+  assert.equal(w.runningOf('req-long'), 1, w.lines.join('\n'));
+  const starts = w.lines.filter((l) => l.includes('runs req-long')).length;
+  assert.equal(starts, 2, `what a copy says starts nothing anew:\n${w.lines.join('\n')}`);
+}
+
+test('5. leaders change ten times in two minutes, also inside an outage', async () => {
+  for (const seed of [1, 2, 3]) {
+    const w = await worldWith(6, 3);
+    const claims = new Set<string>();
+    w.onCommit = (body) => {
+      const claim = claimIn(body);
+      if (claim?.part === '0') claims.add(JSON.stringify(body.apply));
+    };
+    await w.submit(0, 'req-service', { service: true, tasks: 6 });
+    await w.submit(1, 'req-array', { tasks: 12, cpus: 1, runMs: 20_000, team: 'blue' });
+    await w.submit(2, 'req-over', { tasks: 6, cpus: 1, runMs: 600_000, team: 'blue' });
+    await w.step(1000);
+    for (let change = 0; change < 12; change += 1) {
+      const leader = w.ownerOf(0);
+      w.killNode(leader);
+      const away = 200 + ((seed * 1700 + change * 900) % 4000);
+      w.clock.after(away, () => void w.startNode(leader));
+      if (change === 2 || change === 6) w.clock.after(400 * seed, () => (w.state.outage = true));
+      if (change === 3 || change === 7) w.clock.after(400 * seed, () => w.state.endOutage());
+      if (change === 5) w.cancel('req-over', seed % 3);
+      await w.step(10_000 - ((seed * 700 + change * 300) % 1500));
+    }
+    assert.ok(claims.size >= 10, `claims of part 0: ${claims.size}`);
+    await w.step(40_000);
+    for (const job of ['req-service', 'req-array', 'req-over'])
+      for (const n of NODES) await w.ask(n, 'GET', `/v2/runs/${job}`);
+    w.assertRules(`seed ${seed}`);
+    assert.equal(w.jobs.get('req-array')?.told, 'done', w.lines.join('\n'));
+    assert.equal(w.jobs.get('req-over')?.told, 'cancelled');
+    assert.equal(w.runningOf('req-service'), 6);
+  }
+});
+
+test('6. handed over, the successor ends at its claim, all end, and one returns within a second', async () => {
+  for (const [endAfter, backAfter] of [
+    [0, 30],
+    [4, 300],
+    [20, 950],
+    [700, 100],
+  ] as const) {
+    const w = await worldWith(6, 3);
+    await w.submit(0, 'req-service', { service: true, tasks: 4, zone: 'east' });
+    await w.submit(0, 'req-array', { tasks: 8, cpus: 1, zone: 'east', runMs: 60_000, team: 'blue' });
+    await w.until('all runs', () => w.runningOf('req-service') + w.runningOf('req-array') === 12);
+    let successor = -1;
+    w.atTakeover(0, (node) => {
+      successor = node;
+      w.clock.after(endAfter, () => {
+        for (const n of NODES) w.killNode(n);
+        w.clock.after(backAfter, () => void w.startNode(node));
+      });
+    });
+    w.killNode(0);
+    await w.until(
+      'the successor is back',
+      () => w.lines.filter((l) => l.includes(`n${successor} starts`)).length === 2,
+    );
+    await submitAgain(w, successor, 'req-late', { tasks: 4, zone: 'east', runMs: 1000 });
+    await w.step(45_000);
+    await w.ask(successor, 'GET', '/v2/runs/req-late');
+    assert.equal(w.jobs.get('req-late')?.told, 'done', `one controller is enough:\n${w.lines.join('\n')}`);
+    for (const n of NODES) if (n !== successor) await w.startNode(n);
+    // And back: the home of each part has it again, and ends at once.
+    await w.until('the part is at home', () => w.ownerOf(0) === 0);
+    w.killNode(0);
+    w.clock.after(backAfter, () => void w.startNode(0));
+    await w.step(45_000);
+    await w.ask(0, 'GET', '/v2/runs/req-array');
+    w.assertRules(`all end ${endAfter} ms after the claim, one is back after ${backAfter} ms`);
+    assert.equal(w.jobs.get('req-array')?.told, 'done', w.lines.join('\n'));
+    assert.equal(w.runningOf('req-service'), 4);
+  }
+});
+
+/** As users do: again after a second, until the job is taken. */
+async function submitAgain(w: MeetingWorld, n: number, job: string, options: JobOptions): Promise<void> {
+  for (let tries = 0; tries < 20; tries += 1) {
+    const { status } = await w.submit(n, job, options);
+    if (status === 200 || status === 201) return;
+    await w.step(1000);
+  }
+  assert.fail(`${job} was never taken:\n${w.lines.join('\n')}`);
+}
+
+test('7. launches, kills and clears of an ended leader arrive after the orders of the new one', async () => {
+  for (const late of [2000, 4500, 8000, 16_000]) {
+    for (const unreached of [0, 5000]) {
+      for (const back of [false, true]) await lateOrders(late, unreached, back);
+    }
+  }
+});
+
+async function lateOrders(late: number, unreachedMs: number, back: boolean): Promise<void> {
+  const w = await worldWith(4, 2);
+  await w.submit(0, 'req-over', { tasks: 3, zone: 'east', runMs: 600_000 });
+  await w.submit(0, 'req-short', { tasks: 2, cpus: 1, zone: 'east', runMs: 1200, team: 'blue' });
+  await w.until('it runs', () => w.runningOf('req-over') === 3);
+  const held = new Set<string>();
+  w.holdOrders = (node, machine) => {
+    if (node !== 0) return null;
+    held.add(machine);
+    return late;
+  };
+  w.cancel('req-over', 1);
+  await w.submit(0, 'req-kept', { tasks: 4, cpus: 4, zone: 'east', runMs: 40_000 });
+  await w.until('orders of n0 are on their way', () => held.size > 0);
+  await w.step(300);
+  const lost = [...held];
+  w.killNode(0);
+  if (unreachedMs > 0) w.cutOff(lost, [1, 2]);
+  w.atTakeover(0, () => w.clock.after(unreachedMs, () => w.heal(lost)));
+  if (back) w.clock.after(1000, () => void w.startNode(0));
+  await w.step(20_000);
+  w.heal(lost);
+  await w.step(75_000);
+  w.assertRules(`orders ${late} ms late, machines unreached ${unreachedMs} ms, n0 ${back ? 'back' : 'gone'}`);
+  const done = w.lines.filter((l) => /ends req-kept\/\d: done/.test(l)).length;
+  assert.equal(done, 4, w.lines.join('\n'));
+  assert.equal(w.runningOf('req-over'), 0);
+}
+
+test('8. the leader ends while machines with long tasks are cut off, or do not hear its successor', async () => {
+  for (const trouble of ['cut', 'deaf'] as const) {
+    for (const lastsMs of [3000, 11_000, 20_000, 45_000, 150_000]) await longTasksUnheard(trouble, lastsMs);
+  }
+});
+
+async function longTasksUnheard(trouble: 'cut' | 'deaf', lastsMs: number): Promise<void> {
+  const w = await worldWith(6, 2);
+  await w.submit(0, 'req-long', { tasks: 6, zone: 'east', runMs: 600_000 });
+  await w.until('it runs', () => w.runningOf('req-long') === 6);
+  const lost = machinesOfPart(w, 0, 'req-long');
+  assert.ok(lost.length > 0);
+  w.killNode(0);
+  if (trouble === 'cut') w.cutOff(lost);
+  else for (const m of lost) w.deaf.add(m);
+  w.clock.after(lastsMs, () => {
+    w.heal(lost);
+    for (const m of lost) w.deaf.delete(m);
+  });
+  await w.step(75_000);
+  w.assertRules(`${trouble} for ${lastsMs} ms`);
+  assert.equal(
+    w.runningOf('req-long'),
+    6,
+    `${trouble} for ${lastsMs} ms, all run again:\n${w.lines.join('\n')}`,
+  );
+  await w.step(90_000);
+  w.assertRules(`${trouble} for ${lastsMs} ms`);
+  assert.equal(w.runningOf('req-long'), 6);
+}
+
+test('10. a leader loses state service and peers, keeps its workers and users; cancelled through the new one', async () => {
+  for (const cancelAfter of [0, 1500, 4000, 7000, 12_000]) {
+    for (const phase of [0, 500, 1000]) await leaderAlone(cancelAfter, phase);
+  }
+});
+
+async function leaderAlone(cancelAfter: number, phase: number): Promise<void> {
+  const w = await worldWith(6, 2);
+  await w.submit(0, 'req-over', { tasks: 4, zone: 'east', runMs: 600_000 });
+  await w.submit(0, 'req-long', { tasks: 4, zone: 'east', runMs: 600_000, team: 'blue' });
+  await w.until('all runs', () => w.runningOf('req-over') + w.runningOf('req-long') === 8);
+  await w.step(phase);
+  const own = [...w.workers.keys()].filter((m) => partOf(w, m) === 0);
+  const holders = machinesOfPart(w, 0, 'req-over');
+  const others = own.filter((m) => !holders.includes(m));
+  // Machines with the job reach only the old leader; another of its machines only the new one; one both.
+  w.cutOff(holders, [1, 2]);
+  w.cutOff(others.slice(0, 1), [0]);
+  w.state.cut.add('n0');
+  for (const n of [1, 2]) w.cuts.add(`n0|n${n}`);
+  w.trace('n0 is cut from the state service and its peers');
+  w.clock.after(cancelAfter, () => w.cancel('req-over', 1));
+  for (let i = 0; i < 80; i += 1) {
+    if (i % 4 === 0) void w.request(0, 'POST', '/v2/runs/req-over/abort');
+    if (i % 8 === 0) void w.request(0, 'POST', '/v2/runs', w.submission(`req-alone-${i}`, { tasks: 1 }));
+    await w.step(500);
+  }
+  assert.equal(w.jobs.get('req-over')?.told, 'cancelled');
+  assert.notEqual(w.ownerOf(0), 0);
+  w.cuts.clear();
+  w.state.cut.clear();
+  await w.step(40_000);
+  w.assertRules(`cancelled ${cancelAfter} ms after the cut, ${phase} ms into a report interval`);
+  assert.equal(w.runningOf('req-over'), 0);
+  assert.equal(w.runningOf('req-long'), 4, w.lines.join('\n'));
+}
