--- a/src/flock/overflow.ts
+++ b/src/flock/overflow.ts
@@ -62,11 +62,12 @@
   now: SteadyMs,
 ): HandOver | null {
   const shape = shapeOf(job.spec, pin);
-  const homeZone = zoneOfPart(core, part.id);
-  const willing = refused.has(shape) ? [] : willingList(others, homeZone, job.spec, pin, now, core.random);
+  const willing = refused.has(shape)
+    ? []
+    : willingList(others, zoneOfPart(core, part.id), job.spec, pin, now, core.random);
   if (willing.length === 0) {
     refused.add(shape);
-    return pin === null ? null : moveZone(core, job, pin, homeZone, now);
+    return pin === null ? null : moveZone(core, part, job, pin, now);
   }
   const gang = job.spec.shape === 'gang';
   const same = indices === 'all' ? [...job.waiting] : indices.filter((i) => pinOf(job, i) === pin);
@@ -74,31 +75,35 @@
   if (!found || (gang && same.length < job.waiting.size)) return null;
   const count = Math.min(found.capacity, same.length);
   const tasks = RangeSet.of(same.slice(0, count).map((i) => [i, i + 1] as const));
-  return promised(core, job, tasks, found.offer, pin);
+  const to = found.offer.part;
+  const value = recordWith(core, job, tasks, to, pin);
+  if (value === null) return null;
+  reserve(found.offer, job.spec, pin, tasks.size);
+  return { job, tasks, to, value };
 }
 
 /** The tasks have waited for room in their zone, and no part has any there. */
-function moveZone(core: Core, job: PartJob, stuck: ZoneId, homeZone: ZoneId, now: SteadyMs): HandOver | null {
-  const { zones } = core.settings;
-  const types = [...core.types.values()];
-  const { offers, random } = core;
-  const move = chooseRepin(job, stuck, job.waitingSince, { now, homeZone, zones, types, offers, random });
-  return move && promised(core, job, move.tasks, move.offer, move.zone);
+function moveZone(core: Core, part: Part, job: PartJob, stuck: ZoneId, now: SteadyMs): HandOver | null {
+  const move = chooseRepin(part.id, job, stuck, {
+    now,
+    homeZone: zoneOfPart(core, part.id),
+    zones: core.settings.zones,
+    types: [...core.types.values()],
+    offers: core.offers,
+    random: core.random,
+  });
+  if (!move) return null;
+  const value = recordWith(core, job, move.tasks, move.part, move.zone);
+  if (value === null) return null;
+  if (move.offer) reserve(move.offer, job.spec, move.zone, move.tasks.size);
+  return { job, tasks: move.tasks, to: move.part, value };
 }
 
-/** The hand-over with its record, the room taken off the offer; null: the record has no room for another range. */
-function promised(
-  core: Core,
-  job: PartJob,
-  tasks: RangeSet,
-  offer: Offer,
-  zone: ZoneId | null,
-): HandOver | null {
-  const value = encodeRecord(reassign(job.record, tasks, offer.part, () => zone));
+/** The job's record with these tasks entrusted to that part in that zone; null: it has no room for another range. */
+function recordWith(core: Core, job: PartJob, tasks: RangeSet, to: Part['id'], zone: ZoneId | null): unknown {
+  const value = encodeRecord(reassign(job.record, tasks, to, () => zone));
   // Such a job stays here, and must not keep others from going.
-  if (Buffer.byteLength(JSON.stringify(value)) > core.settings.valueBytes) return null;
-  reserve(offer, job.spec, zone, tasks.size);
-  return { job, tasks, to: offer.part, value };
+  return Buffer.byteLength(JSON.stringify(value)) > core.settings.valueBytes ? null : value;
 }
 
 export class Overflow {
--- a/src/flock/repin.ts
+++ b/src/flock/repin.ts
@@ -7,7 +7,7 @@
 import type { JobRecord } from '../jobs/record.js';
 import { waitingRuns, type PartJob } from '../parts/model.js';
 import { RangeSet } from '../ranges.js';
-import type { PartId, SteadyMs, ZoneId } from '../units.js';
+import type { PartId, ZoneId } from '../units.js';
 import { eligibleZones, type AssignContext } from './assign.js';
 import { willingList, type Offer } from './willing.js';
 
@@ -20,7 +20,8 @@
   readonly tasks: RangeSet;
   readonly part: PartId;
   readonly zone: ZoneId;
-  readonly offer: Offer;
+  /** The offer whose room is taken; null: the tasks only join the others of their job. */
+  readonly offer: Offer | null;
 }
 
 /** Tasks that the record entrusts to each zone, the finished ones included: the strictest reading of the limit. */
@@ -38,16 +39,20 @@
   return job.waiting.size === spec.tasks ? spec.tasks : 0;
 }
 
+/**
+ * Tasks that must be together can only change their zone together, and only the owner of a task knows that it is on no
+ * machine: while they are split among parts, the waiting ones gather at the part with the lowest number.
+ */
+function collectingPart({ record }: PartJob): PartId | null {
+  if (!record.done.isEmpty) return null;
+  return Math.min(...record.assignments.map((a) => a.part)) as PartId;
+}
+
 const mayMove = (spec: JobSpec): boolean => spec.zone === null && (spec.spread || spec.oneZone);
 
 /** The best move for the tasks that wait in `stuck`, or null: nowhere else is room that the job may use. */
-export function chooseRepin(
-  job: PartJob,
-  stuck: ZoneId,
-  waitingSince: SteadyMs | null,
-  ctx: RepinContext,
-): Repin | null {
-  const { spec } = job;
+export function chooseRepin(part: PartId, job: PartJob, stuck: ZoneId, ctx: RepinContext): Repin | null {
+  const { spec, waitingSince } = job;
   if (!mayMove(spec) || waitingSince === null || ctx.now - waitingSince < REPIN_AFTER) return null;
   if (!job.moving.isEmpty || !job.frozen.isEmpty) return null;
   const waiting = RangeSet.of(
@@ -55,6 +60,9 @@
       .filter((run) => run.zone === stuck)
       .map((run) => [run.from, run.to] as const),
   );
+  const collector = spec.oneZone ? collectingPart(job) : null;
+  if (collector !== null && collector !== part)
+    return { tasks: waiting, part: collector, zone: stuck, offer: null };
   let best: { zone: ZoneId; offer: Offer; count: number } | null = null;
   for (const zone of eligibleZones(spec, ctx.zones, ctx.types)) {
     if (zone === stuck) continue;
--- a/src/workers/desk.ts
+++ b/src/workers/desk.ts
@@ -299,9 +299,12 @@
   }
 
   private sweepMachine(part: Part, machine: Machine, now: SteadyMs): void {
-    if (machine.lastReport === null && machine.settled) return;
-    // Until then an owner before us may have answered it: that one stops when its view is too old.
-    const before = machine.settled ? 0 : part.claimedAt + this.core.settings.cancelS * 1001;
+    // Named since our claim and not heard of: it holds nothing.
+    if (machine.lastReport === null && machine.settled && machine.sessionSeen === null) return;
+    // Until then an owner before us may have answered it: that one stops when its view is too old. A machine that
+    // answers calls and whose reports do not arrive has shown our token, and not when its lease was last renewed.
+    const reported = machine.settled && machine.lastReport !== null;
+    const before = reported ? 0 : part.claimedAt + this.core.settings.cancelS * 1001;
     // A direct answer may have shown a new session before any report of it: that one has a lease of its own, and what
     // was started in it since does not end with the old one.
     const renewed = Math.max(machine.lastReport ?? 0, machine.sessionSeen ?? 0);
--- a/test/waiting.test.ts
+++ b/test/waiting.test.ts
@@ -6,7 +6,7 @@
 import { assignJob, type AssignContext } from '../src/flock/assign.js';
 import { offerOf } from '../src/flock/news.js';
 import { chooseHandOver } from '../src/flock/overflow.js';
-import { chooseRepin, REPIN_AFTER } from '../src/flock/repin.js';
+import { chooseRepin, REPIN_AFTER, type Repin } from '../src/flock/repin.js';
 import { capacityFor, seededRandom, type Offer } from '../src/flock/willing.js';
 import { newMachine, Part, syncJob, type PartJob } from '../src/parts/model.js';
 import { planRound } from '../src/placement/plan.js';
@@ -20,6 +20,7 @@
 const NOW = 1_000_000 as SteadyMs;
 const EAST = 'east' as ZoneId;
 const WEST = 'west' as ZoneId;
+const HERE = 0 as PartId;
 /** What the task says: a job may be left waiting no longer than this, in milliseconds. */
 const LEFT_WAITING = 90_000;
 
@@ -151,29 +152,44 @@
     offers: new Map(offers.map((o) => [o.part, o])),
     random: seededRandom(1),
   });
-  const since = (NOW - REPIN_AFTER) as SteadyMs;
+  const choose = (
+    job: PartJob,
+    at: ReturnType<typeof ctx>,
+    waited = REPIN_AFTER,
+    part = HERE,
+  ): Repin | null => {
+    job.waitingSince = (NOW - waited) as SteadyMs;
+    return chooseRepin(part, job, WEST, at);
+  };
   const east = ctx(offer(0, 'east', 8));
   const apart = partWith(0, { tasks: 3, spread: true }, [
     [0, 2, 0, 'west'],
     [2, 3, 0, 'east'],
   ]).job;
-  const moved = chooseRepin(apart, WEST, since, east);
+  const moved = choose(apart, east);
   assert.deepEqual([moved?.tasks.ranges(), moved?.zone, moved?.part], [[[0, 1]], EAST, 0]);
-  assert.equal(chooseRepin(apart, WEST, (NOW - 100) as SteadyMs, east), null, 'its zone may have room soon');
-  assert.equal(chooseRepin(apart, WEST, since, ctx(offer(0, 'east', 1))), null, 'no room there');
+  assert.equal(choose(apart, east, REPIN_AFTER - 1), null, 'its zone may have room soon');
+  assert.equal(choose(apart, ctx(offer(0, 'east', 1))), null, 'no room there');
   apart.waiting.removeRange(0, 2);
-  assert.equal(chooseRepin(apart, WEST, since, east), null, 'on a machine, or perhaps');
+  assert.equal(choose(apart, east), null, 'on a machine, or perhaps');
   const full = partWith(0, { tasks: 4, spread: true }, [
     [0, 2, 0, 'west'],
     [2, 4, 1, 'east'],
   ]).job;
-  assert.equal(chooseRepin(full, WEST, since, east), null, 'half of the tasks belong there already');
+  assert.equal(choose(full, east), null, 'half of the tasks belong there already');
   const together = partWith(0, { tasks: 3, oneZone: true }, [[0, 3, 0, 'west']]).job;
-  assert.deepEqual(chooseRepin(together, WEST, since, east)?.tasks.ranges(), [[0, 3]]);
+  assert.deepEqual(choose(together, east)?.tasks.ranges(), [[0, 3]]);
   together.waiting.remove(1);
-  assert.equal(chooseRepin(together, WEST, since, east), null, 'one runs: the others stay with it');
+  assert.equal(choose(together, east), null, 'one runs: the others stay with it');
+  const split = partWith(0, { tasks: 3, oneZone: true }, [
+    [0, 1, 0, 'west'],
+    [1, 3, 1, 'west'],
+  ]).job;
+  assert.equal(choose(split, east), null, 'the others may run on the other part');
+  const gathers = choose(split, east, REPIN_AFTER, 2 as PartId);
+  assert.deepEqual([gathers?.tasks.ranges(), gathers?.zone, gathers?.part], [[[0, 1]], WEST, 0]);
   const bound = partWith(0, { tasks: 3, oneZone: true, zone: 'west' }, [[0, 3, 0, 'west']]).job;
-  assert.equal(chooseRepin(bound, WEST, since, east), null, 'the owner named the zone');
+  assert.equal(choose(bound, east), null, 'the owner named the zone');
 });
 
 async function worldWith(...zones: string[]): Promise<World> {
