--- a/test/machine-meetings.test.ts
+++ b/test/machine-meetings.test.ts
@@ -329,11 +329,11 @@
 
 test('all controllers are away, for less and for more than the lease: nothing twice, done stays done, all ends', async () => {
   for (const away of [400, 5000, 11_500, 12_500, 30_000]) {
-    const w = await worldWith('east', 'east', 'west');
+    const w = await worldWith('east', 'east', 'east', 'east', 'west', 'west');
     await w.submit(0, 'req-0', { tasks: 1, runMs: 500 });
     await w.step(3000);
     await poll(w, 'req-0');
-    await w.submit(0, 'req-1', { tasks: 4, runMs: 15_000 });
+    await w.submit(0, 'req-1', { tasks: 8, runMs: 15_000 });
     await w.submit(1, 'req-2', { service: true, tasks: 2, spread: true, team: 'blue' });
     let killed = false;
     onceExecuted(
@@ -346,12 +346,15 @@
     );
     await w.submit(2, 'req-3', { tasks: 3, runMs: 9000, team: 'blue' });
     await until(w, 'all are killed', () => killed);
-    // Three machines come back at different times, the last one long after the first.
+    // One that holds tasks is reached a while after the others.
+    const slow = machines(w).find((m) => m.active().length > 0);
+    if (slow) for (const n of NODES) w.cuts.add(`n${n}|${slow.id}`);
     await w.step(away);
     await w.startNode(2);
     await w.step(900);
     await w.startNode(0);
     await w.step(4000);
+    w.cuts.clear();
     await w.startNode(1);
     await w.step(75_000);
     rulesHold(w, away);
@@ -361,3 +364,128 @@
     rulesHold(w, away);
   }
 });
+
+test('old reports arrive after newer ones, from an earlier session, attempt or owner: they free and start nothing', async () => {
+  for (const phase of [0, 1, 2, 3]) {
+    const w = await worldWith('east', 'east', 'west', 'west');
+    await w.submit(0, 'req-1', { tasks: 4, runMs: 9000, saveS: 1 });
+    await w.submit(1, 'req-2', { service: true, tasks: 2, spread: true, team: 'blue' });
+    await w.step(2500);
+    const busy = machines(w).filter((m) => m.active().length > 0);
+    // Phases: the same session; a new session; a new owner; a new owner that has just begun.
+    const first = busy[0] as WorkerStandin;
+    if (phase === 1) first.restart();
+    if (phase === 2) w.killNode(0);
+    await w.step(phase === 2 ? 2500 : 700);
+    for (let again = 0; again < 3; again += 1) {
+      if (phase === 3 && again === 1) {
+        for (const n of NODES) w.killNode(n);
+        for (const n of NODES) await w.startNode(n);
+      }
+      for (const m of busy)
+        for (const back of [1, 2, 4])
+          for (const n of NODES) {
+            const body = (w.sent.get(m.id) ?? []).at(-1 - back);
+            if (body) void w.request(n, 'POST', '/agent/beat', body);
+            await w.step(phase === 3 ? 50 : 150);
+          }
+      await w.step(1900);
+    }
+    await w.step(60_000);
+    rulesHold(w, phase);
+    const said = await poll(w, 'req-1');
+    assert.ok(said.filter((s) => s === 'done').length >= 2, `phase ${phase}: ${said.join()}`);
+    assert.equal(machines(w).flatMap((m) => m.active()).length, 2, 'the replicas run');
+    if (phase === 0) for (let i = 0; i < 4; i += 1) assert.equal(starts(w, `req-1/${i}`), 1);
+    rulesHold(w, phase);
+  }
+});
+
+test('a cancelled task goes on after its machine hung, the kill lost, with and without a change of leader', async () => {
+  for (const [hangs, killOwner, orders] of [
+    [3000, false, 'lost'],
+    [9000, false, 'kept'],
+    [11_500, false, 'lost'],
+    [9000, true, 'lost'],
+    [11_500, true, 'kept'],
+    [5000, true, 'lost'],
+  ] as const) {
+    const w = await worldWith('east', 'east', 'west');
+    w.hangingKeepsOrders = orders === 'kept';
+    await w.submit(0, 'req-1', { tasks: 4, runMs: 300_000 });
+    await w.submit(1, 'req-2', { service: true, tasks: 2, team: 'blue' });
+    await until(w, 'it runs', () => [0, 1, 2, 3].every((i) => starts(w, `req-1/${i}`) > 0));
+    await w.step(1200);
+    const hung = machines(w).filter((m) => m.active().some((t) => t.leg.startsWith('req-1/')));
+    for (const m of hung) m.hanging = true;
+    w.trace(`${hung.map((m) => m.id).join(' ')} hang`);
+    const hungAt = w.clock.now();
+    await w.ask(2, 'POST', '/v2/runs/req-1/abort');
+    const told = w.lines.length;
+    // Kills that reach a machine just as it goes on are lost as well: only its reports tell that the tasks live.
+    w.holdOrders = (_, __, call) => (orderIn(call, 'kill') ? 1e9 : null);
+    if (killOwner) {
+      await w.step(600);
+      w.killNode(0);
+    }
+    await w.step(Math.max(50, hangs - (w.clock.now() - hungAt)));
+    for (const m of hung) w.resume(m.id);
+    w.trace('they go on');
+    await w.step(45_000);
+    rulesHold(w, [hangs, killOwner, orders]);
+    assert.equal(startsAfter(w, 'req-1', told), 0);
+    for (const m of machines(w)) assert.ok(!m.active().some((t) => t.leg.startsWith('req-1/')));
+  }
+});
+
+test('two troubles at one machine: deaf and a new leader, deaf and then hanging, sick and deaf', async () => {
+  for (const trouble of ['leader', 'leader at once', 'hanging', 'sick'] as const) {
+    const w = await worldWith('east', 'east', 'west', 'west');
+    let deaf: WorkerStandin | null = null;
+    onceExecuted(
+      w,
+      (o) => o.order === 'launch',
+      (m) => {
+        deaf = m;
+        w.deaf.add(m.id);
+        // It cannot be deleted either, which would settle everything that it may hold.
+        w.cloudOutage = trouble !== 'sick';
+        if (trouble === 'sick') m.sick = true;
+        if (trouble === 'leader at once') w.killNode(0);
+      },
+    );
+    await w.submit(0, 'req-1', { tasks: 4, runMs: 20_000 });
+    await w.submit(1, 'req-2', { service: true, tasks: 2, team: 'blue' });
+    await w.submit(1, 'req-3', { tasks: 3, runMs: 100_000, team: 'blue' });
+    await until(w, 'deaf', () => deaf !== null);
+    const m = deaf as unknown as WorkerStandin;
+    await w.step(2500);
+    let launches = 0;
+    w.holdOrders = (_, id, call) => {
+      if (id === m.id && orderIn(call, 'launch')) launches += 1;
+      return null;
+    };
+    if (trouble === 'leader') w.killNode(0);
+    if (trouble === 'hanging') {
+      m.hanging = true;
+      w.clock.after(7000, () => w.resume(m.id));
+    }
+    await w.step(500);
+    await w.ask(2, 'POST', '/v2/runs/req-3/abort');
+    const told = w.lines.length;
+    await w.step(75_000);
+    assert.equal(launches, 0, `${trouble}: nothing new is sent to a machine that is not reached`);
+    for (let i = 0; i < 4; i += 1)
+      assert.ok(ends(w, `req-1/${i}`) > 0, `${trouble}: what it held runs elsewhere\n${w.lines.join('\n')}`);
+    w.deaf.clear();
+    w.cloudOutage = false;
+    m.sick = false;
+    await w.step(30_000);
+    rulesHold(w, trouble);
+    assert.equal(startsAfter(w, 'req-3', told), 0);
+    const said = await poll(w, 'req-1');
+    assert.ok(said.filter((s) => s === 'done').length >= 2, `${trouble}: ${said.join()}`);
+    assert.equal(machines(w).flatMap((x) => x.active()).length, 2, `${trouble}: the replicas run`);
+    rulesHold(w, trouble);
+  }
+});
--- a/test/standins/worker.ts
+++ b/test/standins/worker.ts
@@ -47,6 +47,8 @@
   alive = true;
   /** A hanging machine executes nothing, and may go on within its lease. */
   hanging = false;
+  /** A faulty machine: every task on it fails. */
+  sick = false;
   noticeAt: number | null = null;
   readonly images = new Set<string>();
 
@@ -179,9 +181,10 @@
     task.ends = this.world.clock.after(200, () => {
       task.status = 'running';
       this.world.trace(`${this.id} runs ${task.leg}`);
-      const ends = facts.fails ? 500 : facts.runMs;
+      const fails = facts.fails || this.sick;
+      const ends = fails ? 500 : facts.runMs;
       task.ends = Number.isFinite(ends)
-        ? this.world.clock.after(ends, () => this.exit(task, facts.fails ? 'error' : 'done'))
+        ? this.world.clock.after(ends, () => this.exit(task, fails ? 'error' : 'done'))
         : null;
     });
   }
