--- a/src/jobs/cancellation.ts
+++ b/src/jobs/cancellation.ts
@@ -45,8 +45,12 @@
 
   /** null: the record has changed since that version, or the outcome is unknown. */
   private async cancelAt(id: JobId, version: Revision): Promise<Answer | null> {
+    // The view may have dropped the job after our read found it live: its end must not be overwritten then.
     const result = await this.access.state.txn(
-      [{ key: liveKey(id), version }],
+      [
+        { key: liveKey(id), version },
+        { key: finalKey(id), version: NO_REVISION },
+      ],
       [
         { op: 'drop', key: liveKey(id) },
         { op: 'put', key: finalKey(id), value: encodeFinal('cancelled') },
--- a/test/standins/worker.ts
+++ b/test/standins/worker.ts
@@ -21,6 +21,7 @@
 export interface JobFacts {
   readonly runMs: number;
   readonly cpus: number;
+  readonly gpus: number;
   readonly saveS: number;
   readonly fails: boolean;
 }
@@ -34,6 +35,9 @@
   readonly nodes: readonly string[];
   readonly job: (leg: string) => JobFacts | null;
   readonly trace: (line: string) => void;
+  /** It holds the task's image, and has it until the second call; `done`: it completed. */
+  readonly started: (worker: WorkerStandin, leg: string) => void;
+  readonly ended: (worker: WorkerStandin, leg: string, done: boolean) => void;
 }
 
 export class WorkerStandin {
@@ -57,6 +61,7 @@
     readonly spot: boolean,
     readonly cpus: number,
     private readonly world: WorkerWorld,
+    readonly gpus = 0,
   ) {
     this.leaseFrom = world.clock.now();
     world.clock.after(10, () => void this.run());
@@ -66,6 +71,12 @@
     return [...this.tasks.values()].filter((t) => t.status === 'running' || t.status === 'saving');
   }
 
+  private forgetTasks(): void {
+    for (const t of this.tasks.values()) t.ends?.cancel();
+    for (const t of this.active()) this.world.ended(this, t.leg, false);
+    this.tasks.clear();
+  }
+
   private body(): unknown {
     this.sequence += 1;
     const now = this.world.clock.now();
@@ -93,8 +104,7 @@
     const { clock, leaseMs, trace } = this.world;
     if (clock.now() - this.leaseFrom <= leaseMs) return;
     if (this.tasks.size > 0) trace(`${this.id} lease over, forgets ${this.tasks.size} tasks`);
-    for (const t of this.tasks.values()) t.ends?.cancel();
-    this.tasks.clear();
+    this.forgetTasks();
     this.session += 1;
     this.leaseFrom = clock.now();
   }
@@ -169,10 +179,12 @@
     this.tasks.set(o.leg, task);
     if (!facts) return this.exit(task, 'unknown');
     const used = [...this.tasks.values()].filter((t) => t.status !== 'exited' && t !== task).length;
-    if ((used + 1) * facts.cpus > this.cpus + 1e-9) return this.exit(task, 'full');
+    const fits = (need: number, has: number): boolean => (used + 1) * need <= has + 1e-9;
+    if (!fits(facts.cpus, this.cpus) || !fits(facts.gpus, this.gpus)) return this.exit(task, 'full');
     task.ends = this.world.clock.after(200, () => {
       task.status = 'running';
       this.world.trace(`${this.id} runs ${task.leg}`);
+      this.world.started(this, task.leg);
       const ends = facts.fails ? 500 : facts.runMs;
       task.ends = Number.isFinite(ends)
         ? this.world.clock.after(ends, () => this.exit(task, facts.fails ? 'error' : 'done'))
@@ -183,15 +195,16 @@
   private exit(task: Task, cause: string): void {
     task.ends?.cancel();
     task.ends = null;
+    const ran = task.status === 'running' || task.status === 'saving';
     task.status = 'exited';
     task.cause = cause;
     this.world.trace(`${this.id} ends ${task.leg}: ${cause}`);
+    if (ran) this.world.ended(this, task.leg, cause === 'done');
   }
 
   /** Off and on again: everything is gone, and the worker is in a new session. */
   restart(): void {
-    for (const t of this.tasks.values()) t.ends?.cancel();
-    this.tasks.clear();
+    this.forgetTasks();
     this.session += 1;
     this.sequence = 0;
     this.token = 0;
@@ -200,7 +213,6 @@
 
   destroy(): void {
     this.alive = false;
-    for (const t of this.tasks.values()) t.ends?.cancel();
-    this.tasks.clear();
+    this.forgetTasks();
   }
 }
