--- a/src/controller.ts
+++ b/src/controller.ts
@@ -9,7 +9,7 @@
 import { seededRandom } from './flock/willing.js';
 import { HttpClient, Sockets } from './http/client.js';
 import { serve, type Answer, type Handler, type Request } from './http/server.js';
-import { decodeTime, TimeKeeper } from './jobs/age.js';
+import { decodeTime, SharedTime, TimeKeeper } from './jobs/age.js';
 import { ProgressWriter } from './jobs/progress.js';
 import { LIVE, type Assignment } from './jobs/record.js';
 import { JobService } from './jobs/service.js';
@@ -112,7 +112,7 @@
     private readonly ports: Ports,
   ) {
     const random = seededRandom(tuning.seed + settings.part);
-    this.core = new Core(settings, tuning, clock, log, ports.incarnation(), random);
+    this.core = new Core(settings, tuning, clock, new SharedTime(), log, ports.incarnation(), random);
     const { core } = this;
     const unit = (): number => random(10_000) / 10_000;
     core.state = new StateClient(ports.state, ports.stateWatch, clock, settings, unit);
--- a/src/core.ts
+++ b/src/core.ts
@@ -2,7 +2,6 @@
 import { Mutex } from 'async-mutex';
 import type { CloudClient } from './cloud/client.js';
 import type { MachineType } from './cloud/wire.js';
-import { SharedTime } from './jobs/age.js';
 import { decodeRecord, LIVE, type JobRecord } from './jobs/record.js';
 import type { JobSpec } from './jobs/spec.js';
 import type { Log } from './log.js';
@@ -25,6 +24,7 @@
   Millis,
   NodeId,
   PartId,
+  SharedMs,
   SteadyMs,
   TeamId,
   TypeId,
@@ -57,6 +57,16 @@
   readonly version: number;
 }
 
+/** Time that the controllers count together, as far as this one knows it. */
+export interface SharedClock {
+  /** The count has reached this. */
+  reached(count: number, now: SteadyMs): void;
+  /** The count at a time of this process's clock. */
+  now(now: SteadyMs): SharedMs;
+  /** How long ago a job was accepted. */
+  age(accepted: SharedMs | null, now: SteadyMs): Millis;
+}
+
 export class Core {
   readonly parts = new Map<PartId, Part>();
   readonly types = new Map<TypeId, MachineType>();
@@ -78,7 +88,6 @@
   readonly past = new Map<JobId, JobSpec>();
   /** Machines that the state service names, counted by part. */
   readonly named = new NamedMachines();
-  readonly time = new SharedTime();
   private readonly mutex = new Mutex();
   view!: View;
   state!: StateClient;
@@ -92,6 +101,7 @@
     readonly settings: Settings,
     readonly tuning: Tuning,
     readonly clock: Clock,
+    readonly time: SharedClock,
     readonly log: Log,
     readonly incarnation: Incarnation,
     readonly random: Random,
--- a/src/jobs/age.ts
+++ b/src/jobs/age.ts
@@ -42,7 +42,7 @@
 /** What the writer of the count uses of the controller. */
 export interface TimeKeeperContext extends StateAccess, Authority {
   readonly clock: Clock;
-  readonly time: SharedTime;
+  readonly time: Pick<SharedTime, 'now'>;
   readonly settings: Pick<Settings, 'node' | 'parts'>;
 }
 
