Jobs, mesh: doc comments on public items; one function for the changes that end a job

Cancellation and progress both wrote out the two changes that end a job: endChanges in final-states.ts. Mesh names: Outgoing -> OutgoingConnection, out -> messages, giveUp -> dialTimer, constants with their units. No change of behaviour.

--- a/src/jobs/cancellation.ts
+++ b/src/jobs/cancellation.ts
@@ -5,9 +5,9 @@
 import type { JobId, Revision } from '../units.js';
 import { NO_REVISION } from '../units.js';
 import type { ActiveJobs, StateAccess } from './dependencies.js';
-import type { FinalStateCache } from './final-states.js';
+import { endChanges, type FinalStateCache } from './final-states.js';
 import type { JobReader } from './lookup.js';
-import { encodeFinal, finalKey, liveKey } from './record.js';
+import { finalKey, liveKey } from './record.js';
 import { accepted, NOT_FOUND, UNAVAILABLE } from './responses.js';
 
 /** How often a cancellation is tried when the record changes under it or an outcome is unknown. */
@@ -51,10 +51,7 @@
         { key: liveKey(id), version },
         { key: finalKey(id), version: NO_REVISION },
       ],
-      [
-        { op: 'drop', key: liveKey(id) },
-        { op: 'put', key: finalKey(id), value: encodeFinal('cancelled') },
-      ],
+      endChanges(id, 'cancelled'),
       Rank.abort,
     );
     if (result.kind === 'conflict' || result.kind === 'unknown') return null;
--- a/src/jobs/final-states.ts
+++ b/src/jobs/final-states.ts
@@ -1,9 +1,16 @@
-/** Cache of final states. A final state never changes, so it may be answered from memory. */
+/** Final states: the changes that end a job, and a cache. A final state never changes, so memory may answer for it. */
+import type { Change } from '../state/wire.js';
 import type { JobId } from '../units.js';
-import type { FinalState } from './record.js';
+import { encodeFinal, finalKey, liveKey, type FinalState } from './record.js';
 
 const MAX_ENTRIES = 20_000;
 
+/** The changes of the transaction that ends a job: its record goes, its final state stays for good. */
+export const endChanges = (id: JobId, state: FinalState): Change[] => [
+  { op: 'drop', key: liveKey(id) },
+  { op: 'put', key: finalKey(id), value: encodeFinal(state) },
+];
+
 /** Remembers how the jobs that ended last have ended; the oldest entries are dropped. */
 export class FinalStateCache {
   private readonly states = new Map<JobId, FinalState>();
--- a/src/jobs/progress.ts
+++ b/src/jobs/progress.ts
@@ -7,15 +7,8 @@
 import type { Change } from '../state/wire.js';
 import type { Clock, JobId, PartId, SteadyMs } from '../units.js';
 import type { ActiveJobs, StateAccess } from './dependencies.js';
-import {
-  encodeFinal,
-  encodeRecord,
-  finalKey,
-  isComplete,
-  liveKey,
-  withDone,
-  type JobRecord,
-} from './record.js';
+import { endChanges } from './final-states.js';
+import { encodeRecord, isComplete, liveKey, withDone, type JobRecord } from './record.js';
 
 /** Progress of a job is written at most this often; its part's last task at once. */
 const PROGRESS_INTERVAL_MS = 1500;
@@ -112,12 +105,7 @@
     const record = withDone(pending.record, pending.finished, settings.valueBytes);
     const complete = isComplete(record);
     const value = encodeRecord(record);
-    const changes: Change[] = complete
-      ? [
-          { op: 'drop', key },
-          { op: 'put', key: finalKey(pending.id), value: encodeFinal('done') },
-        ]
-      : [{ op: 'put', key, value }];
+    const changes: Change[] = complete ? endChanges(pending.id, 'done') : [{ op: 'put', key, value }];
     const result = await state.txn([{ key, version }], changes, pending.last ? Rank.final : Rank.progress);
     this.lastWrite.set(pending.id, clock.now());
     if (this.lastWrite.size > MAX_WRITE_TIMES) this.lastWrite.clear();
--- a/src/jobs/record.ts
+++ b/src/jobs/record.ts
@@ -12,22 +12,29 @@
   readonly zone: ZoneId | null;
 }
 
+/** What the state service holds of a job that is not over. */
 export interface JobRecord {
   readonly spec: JobSpec;
+  /** The part that accepted it and hands its tasks to others. */
   readonly home: PartId;
   /** The store's revision known when it was accepted: the order in which jobs came, near enough. */
   readonly born: Revision;
   /** When it was accepted. null: by an earlier version, which did not say. */
   readonly accepted: SharedMs | null;
+  /** Which part each task is entrusted to. */
   readonly assignments: readonly Assignment[];
+  /** Finished tasks. */
   readonly done: RangeSet;
 }
 
+/** How a job may end; it never changes again. */
 export type FinalState = 'done' | 'cancelled';
 
+/** Prefix of the records of all jobs that are not over. */
 export const LIVE = 'c/live/';
+/** Where a job's record stands while it is not over. */
 export const liveKey = (id: JobId): StateKey => `${LIVE}${id}` as StateKey;
-/** Kept for good, outside the prefix that start-up lists. */
+/** Where a job's final state stands: kept for good, outside the prefix that start-up lists. */
 export const finalKey = (id: JobId): StateKey => `over/${id}` as StateKey;
 
 const range = v.pipe(
@@ -47,6 +54,7 @@
 });
 const final = v.object({ state: v.picklist(['done', 'cancelled']) });
 
+/** The value of `liveKey`. */
 export function encodeRecord(r: JobRecord): unknown {
   return {
     spec: r.spec,
@@ -58,6 +66,7 @@
   };
 }
 
+/** null: the value was written by a version that this one does not understand. */
 export function decodeRecord(value: unknown): JobRecord | null {
   const result = v.safeParse(record, value);
   if (!result.success) return null;
@@ -77,13 +86,16 @@
   };
 }
 
+/** The value of `finalKey`. */
 export const encodeFinal = (state: FinalState): unknown => ({ state });
 
+/** null: the value cannot be read. */
 export function decodeFinal(value: unknown): FinalState | null {
   const result = v.safeParse(final, value);
   return result.success ? result.output.state : null;
 }
 
+/** Size of a record's value in bytes, as the state service counts it. */
 export const recordBytes = (r: JobRecord): number => Buffer.byteLength(JSON.stringify(encodeRecord(r)));
 
 /**
@@ -105,6 +117,7 @@
   return { ...r, done };
 }
 
+/** All tasks are finished; a service never is. */
 export const isComplete = (r: JobRecord): boolean =>
   r.spec.shape !== 'service' && r.done.size === r.spec.tasks;
 
@@ -137,10 +150,12 @@
   return { ...r, assignments: out };
 }
 
+/** The tasks entrusted to a part. */
 export function assignedTo(r: JobRecord, part: PartId): RangeSet {
   return RangeSet.of(r.assignments.filter((a) => a.part === part).map((a) => [a.from, a.to] as const));
 }
 
+/** The zone that a constrained job's task must be in; null: any. */
 export function zoneOf(r: JobRecord, index: number): ZoneId | null {
   return r.assignments.find((a) => a.from <= index && index < a.to)?.zone ?? null;
 }
--- a/src/jobs/spec.ts
+++ b/src/jobs/spec.ts
@@ -5,8 +5,10 @@
 export const Priority = { critical: 0, urgent: 1, standard: 2, bestEffort: 3 } as const;
 export type Priority = (typeof Priority)[keyof typeof Priority];
 
+/** A submission, checked. */
 export interface JobSpec {
   readonly id: JobId;
+  /** Jobs of one lane are alike: their run times are learned together. */
   readonly lane: string;
   readonly team: TeamId;
   /**
@@ -16,18 +18,28 @@
   readonly shape: 'array' | 'gang' | 'service';
   readonly priority: Priority;
   readonly tasks: number;
+  /** Of one task, like the other amounts. */
   readonly cpus: number;
   readonly gpus: number;
   readonly memoryGb: number;
+  /** Machine types that it may run on; null: any. */
   readonly types: readonly TypeId[] | null;
+  /** Where every task must be; null: any zone. */
   readonly zone: ZoneId | null;
+  /** All tasks in one zone, whichever. */
   readonly oneZone: boolean;
+  /** At most half of the tasks, rounded up, in one zone. */
   readonly spread: boolean;
+  /** Spot machines are allowed. */
   readonly spot: boolean;
   readonly image: ImageId;
   readonly imageGb: number;
+  /** Run time of a task as its owner expects it, without fetching the image; often wrong. */
   readonly estimateS: Seconds;
+  /** A running task saves its work after this much progress; 0: it never saves. */
   readonly checkpointS: Seconds;
+  /** How long a task needs to save when it is told to stop. */
   readonly saveS: Seconds;
+  /** When the job should be done, counted from its submission; null: no deadline. */
   readonly deadlineS: Seconds | null;
 }
--- a/src/jobs/wire.ts
+++ b/src/jobs/wire.ts
@@ -40,11 +40,13 @@
   best_effort: Priority.bestEffort,
 };
 
+/** A request to submit, as far as it could be read. */
 export type Submission =
   | { readonly kind: 'spec'; readonly spec: JobSpec }
   /** Malformed; the id is given when at least that could be read. */
   | { readonly kind: 'malformed'; readonly error: string; readonly id: JobId | null };
 
+/** Has the text the form of a job's id? */
 export const isJobId = (text: string): text is JobId => ID.test(text);
 
 function idIn(data: unknown): JobId | null {
@@ -52,6 +54,7 @@
   return typeof id === 'string' && isJobId(id) ? id : null;
 }
 
+/** Reads and checks the body of a submission. */
 export function decodeSubmission(body: Buffer): Submission {
   let data: unknown;
   try {
@@ -93,6 +96,7 @@
   };
 }
 
+/** The answer to a poll; `done` and `running` count tasks. */
 export interface JobStatus {
   readonly id: JobId;
   readonly state: 'pending' | 'running' | 'done' | 'cancelled';
@@ -100,8 +104,10 @@
   readonly running: number;
 }
 
+/** Body of the answers to submissions and cancellations. */
 export const encodeAccepted = (id: JobId, state: JobStatus['state']): unknown => ({ uid: id, status: state });
 
+/** Body of the answer to a poll. */
 export const encodeStatus = (s: JobStatus): unknown => ({
   uid: s.id,
   status: s.state,
--- a/src/mesh/mesh.ts
+++ b/src/mesh/mesh.ts
@@ -8,30 +8,36 @@
 import type { Address, NodeId } from '../units.js';
 import { splitAddress } from '../http/server.js';
 
+/** Largest message in bytes, without its length. */
 const MAX_FRAME = 1024 * 1024;
+/** What may wait in a socket, in bytes; further messages to that peer are dropped. */
 const MAX_UNSENT = 4 * MAX_FRAME;
-const RETRY_MS = 500;
-const DIAL_MS = 1500;
+/** How long after the end of a connection the peer is dialled again, in milliseconds. */
+const RECONNECT_DELAY_MS = 500;
+const DIAL_TIMEOUT_MS = 1500;
+const MAX_INCOMING = 32;
 const packr = new Packr({ useRecords: false, mapsAsObjects: true });
 
 /** Cuts a byte stream into frames: four bytes of length, then the message. */
 export class FrameReader {
   private buffer = Buffer.alloc(0);
 
+  /** The messages that these bytes complete. Throws when a frame is larger than it may be. */
   push(data: Buffer): unknown[] {
     this.buffer = Buffer.concat([this.buffer, data]);
-    const out: unknown[] = [];
+    const messages: unknown[] = [];
     while (this.buffer.length >= 4) {
       const size = this.buffer.readUInt32BE(0);
       if (size > MAX_FRAME) throw new Error('frame too large');
       if (this.buffer.length < 4 + size) break;
-      out.push(packr.unpack(this.buffer.subarray(4, 4 + size)));
+      messages.push(packr.unpack(this.buffer.subarray(4, 4 + size)));
       this.buffer = this.buffer.subarray(4 + size);
     }
-    return out;
+    return messages;
   }
 }
 
+/** One message as it goes over a connection. */
 export function frame(message: unknown): Buffer {
   const body = packr.pack(message);
   const head = Buffer.alloc(4);
@@ -39,10 +45,11 @@
   return Buffer.concat([head, body]);
 }
 
-class Outgoing {
+/** The connection to one peer, dialled anew whenever it ends. */
+class OutgoingConnection {
   private socket: Socket | null = null;
   private ready = false;
-  private timer: NodeJS.Timeout | null = null;
+  private reconnectTimer: NodeJS.Timeout | null = null;
 
   constructor(private readonly address: Address) {
     this.dial();
@@ -55,30 +62,33 @@
   private dial(): void {
     const socket = connect({ ...splitAddress(this.address), noDelay: true });
     this.socket = socket;
-    const giveUp = setTimeout(() => socket.destroy(), DIAL_MS);
+    const dialTimer = setTimeout(() => socket.destroy(), DIAL_TIMEOUT_MS);
     socket.on('connect', () => {
-      clearTimeout(giveUp);
+      clearTimeout(dialTimer);
       this.ready = true;
     });
     socket.on('error', () => socket.destroy());
     // Peers never talk back on this connection; reading notices its end.
     socket.on('data', () => undefined);
     socket.on('close', () => {
-      clearTimeout(giveUp);
+      clearTimeout(dialTimer);
       this.ready = false;
-      this.timer ??= setTimeout(() => {
-        this.timer = null;
+      this.reconnectTimer ??= setTimeout(() => {
+        this.reconnectTimer = null;
         this.dial();
-      }, RETRY_MS);
+      }, RECONNECT_DELAY_MS);
     });
   }
 }
 
+/** Messages to peers, without any promise that they arrive. */
 export interface Mesh {
   send(to: NodeId, message: unknown): void;
+  /** To all peers. */
   broadcast(message: unknown): void;
 }
 
+/** Listens for peers and dials them; `receive` gets every message of any of them. */
 export function openMesh(
   listen: Address,
   peers: readonly { node: NodeId; address: Address }[],
@@ -97,10 +107,10 @@
       }
     });
   });
-  server.maxConnections = 32;
+  server.maxConnections = MAX_INCOMING;
   server.on('error', (err) => log.error({ err }, 'mesh server'));
   server.listen(splitAddress(listen));
-  const links = new Map(peers.map((p) => [p.node, new Outgoing(p.address)]));
+  const links = new Map(peers.map((p) => [p.node, new OutgoingConnection(p.address)]));
   return {
     send: (to, message) => links.get(to)?.send(frame(message)),
     broadcast: (message) => {
