--- a/src/jobs/cancellation.ts
+++ b/src/jobs/cancellation.ts
@@ -40,7 +40,9 @@
     if (lookup.kind === 'unknown') return UNAVAILABLE;
     if (lookup.kind === 'absent') return NOT_FOUND;
     if (lookup.kind === 'ended') return accepted(id, lookup.state);
-    return this.cancelAt(id, this.access.view.version(liveKey(id)));
+    // The job ended while the answer was on its way: a drop of a key that is gone would overwrite its final state.
+    const version = this.access.view.version(liveKey(id));
+    return version === NO_REVISION ? null : this.cancelAt(id, version);
   }
 
   /** null: the record has changed since that version, or the outcome is unknown. */
--- a/src/jobs/submission.ts
+++ b/src/jobs/submission.ts
@@ -89,7 +89,8 @@
   private async create(spec: JobSpec): Promise<Answer> {
     const { state, view, settings, log } = this.context;
     const record = this.newRecord(spec);
-    if (recordBytes(record) > settings.valueBytes) return rejected(400, 'the description is too long');
+    if (recordBytes(record) > settings.valueBytes)
+      return this.reject(spec.id, 400, 'the description is too long');
     const value = encodeRecord(record);
     const conditions = [liveKey(spec.id), finalKey(spec.id)].map((key) => ({ key, version: NO_REVISION }));
     const change = { op: 'put', key: liveKey(spec.id), value } as const;
@@ -100,6 +101,8 @@
     if (result.kind !== 'done') return unavailableFor(state.submitWait);
     const revision = result.revision;
     await this.context.exclusive(() => view.learn(change.key, value, revision));
+    // The answer took so long that another controller has confirmed the job's end meanwhile.
+    if (!this.activeJobs.has(spec.id)) return this.existingJob(spec.id);
     log.info({ job: spec.id, team: spec.team, tasks: spec.tasks, shape: spec.shape }, 'job accepted');
     return created(spec.id);
   }
