--- a/src/controller.ts
+++ b/src/controller.ts
@@ -16,6 +16,7 @@
 import { Priority, type JobSpec } from './jobs/spec.js';
 import type { Log } from './log.js';
 import { openMesh, type Mesh } from './mesh/mesh.js';
+import type { Resources } from './model/resources.js';
 import { figuresOf } from './parts/figures.js';
 import { syncJob } from './parts/model.js';
 import { Ownership } from './parts/ownership.js';
@@ -177,7 +178,7 @@
     if (now - this.lastFigures < FIGURES) return;
     this.lastFigures = now;
     for (const part of core.parts.values()) {
-      const share = (team: TeamId): number => this.quota.share(part.id, team).cpus;
+      const share = (team: TeamId): Resources => this.quota.share(part.id, team);
       core.log.info({ part: part.id, ...figuresOf(part, now, core.reportMs, share) }, 'figures');
     }
   }
--- a/src/core.ts
+++ b/src/core.ts
@@ -7,6 +7,7 @@
 import type { JobSpec } from './jobs/spec.js';
 import type { Log } from './log.js';
 import type { Mesh } from './mesh/mesh.js';
+import type { Resources } from './model/resources.js';
 import type { Part } from './parts/model.js';
 import { NamedMachines } from './parts/named.js';
 import { aliveKey, decodeAlive, decodePart, partKey, type PartRecord } from './parts/records.js';
@@ -48,8 +49,8 @@
 
 export interface PartNews {
   readonly expires: SteadyMs;
-  readonly used: ReadonlyMap<TeamId, number>;
-  readonly spare: ReadonlyMap<TeamId, number>;
+  readonly used: ReadonlyMap<TeamId, Resources>;
+  readonly spare: ReadonlyMap<TeamId, Resources>;
 }
 
 export interface LiveJob {
@@ -70,8 +71,8 @@
   readonly rentedHere = new Map<MachineId, PartId>();
   /** Which images peers' machines hold, for whoever takes a part over. */
   readonly imageHints = new Map<MachineId, readonly (readonly [ImageId, number])[]>();
-  /** By part and image: CPUs that critical work could have at once where the image is. */
-  readonly ready = new Map<PartId, ReadonlyMap<ImageId, number>>();
+  /** By part and image: what critical work could have at once where the image is. */
+  readonly ready = new Map<PartId, ReadonlyMap<ImageId, Resources>>();
   /** Machines that were returned or lost for good. Names are never used again. */
   readonly gone = new Set<MachineId>();
   /** Specs of jobs that are over, while their tasks may still be on machines. */
--- a/src/fleet/catalog.ts
+++ b/src/fleet/catalog.ts
@@ -1,6 +1,7 @@
 /** Which machine types there are: asked of the cloud, and kept in the state service for a start without it. */
 import type { MachineType } from '../cloud/wire.js';
 import type { Core } from '../core.js';
+import { RESOURCE_KINDS } from '../model/resources.js';
 import { CATALOG_KEY } from '../parts/records.js';
 import { Rank } from '../state/budget.js';
 import { millis, steady } from '../units.js';
@@ -46,7 +47,7 @@
     const { core } = this;
     const stored = core.view.get(CATALOG_KEY);
     const names = (list: readonly MachineType[] | null): string =>
-      JSON.stringify(list?.map((t) => [t.name, t.cpus, t.zones]));
+      JSON.stringify(list?.map((t) => [t.name, t.cpus, t.gpus, t.memoryGb, t.zones]));
     if (!core.view.loaded || (stored && names(decodeStored(stored.value)) === names(types))) return;
     const value = { types };
     if (Buffer.byteLength(JSON.stringify(value)) > core.settings.valueBytes) return;
@@ -61,7 +62,7 @@
 
 function decodeStored(value: unknown): MachineType[] | null {
   const types = (value as { types?: MachineType[] } | null)?.types;
-  return Array.isArray(types) && types.every((t) => typeof t.name === 'string' && typeof t.cpus === 'number')
-    ? types
-    : null;
+  const isWhole = (t: MachineType): boolean =>
+    typeof t.name === 'string' && RESOURCE_KINDS.every((kind) => typeof t[kind] === 'number');
+  return Array.isArray(types) && types.every(isWhole) ? types : null;
 }
--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -2,9 +2,8 @@
 import type { MachineType } from '../cloud/wire.js';
 import type { JobSpec } from '../jobs/spec.js';
 import { Priority } from '../jobs/spec.js';
+import { addTo, fits, slots, type MutableResources } from '../model/resources.js';
 import { allowed } from '../placement/round.js';
-import { fits } from '../placement/places.js';
-import type { Room } from '../parts/model.js';
 import type { TypeId, ZoneId } from '../units.js';
 
 export interface Demand {
@@ -43,15 +42,14 @@
 /** The cloud takes no more in one request. */
 const MAX_PER_KIND = 50;
 
-const slots = (room: Room, spec: JobSpec): number => {
-  const by = (free: number, need: number): number => (need > 0 ? Math.floor(free / need + 1e-6) : 1000);
-  return Math.min(by(room.cpus, spec.cpus), by(room.gpus, spec.gpus), by(room.memoryGb, spec.memoryGb));
-};
-
-const roomOfType = (t: MachineType): Room => ({ cpus: t.cpus, gpus: t.gpus, memoryGb: t.memoryGb });
+const roomOfType = (t: MachineType): MutableResources => ({
+  cpus: t.cpus,
+  gpus: t.gpus,
+  memoryGb: t.memoryGb,
+});
 
 interface Coming extends Kind {
-  readonly room: Room;
+  readonly room: MutableResources;
 }
 
 /** Puts tasks on machines that are coming anyway; returns how many are left. */
@@ -59,11 +57,9 @@
   let left = count;
   for (const m of coming) {
     if (left <= 0) return 0;
-    if (!allowed(d.spec, m.type, m.zone, m.spot, d.pin) || !fits(m.room, d.spec)) continue;
+    if (!allowed(d.spec, m.type, m.zone, m.spot, d.pin) || !fits(d.spec, m.room)) continue;
     const n = Math.min(left, slots(m.room, d.spec));
-    m.room.cpus -= n * d.spec.cpus;
-    m.room.gpus -= n * d.spec.gpus;
-    m.room.memoryGb -= n * d.spec.memoryGb;
+    addTo(m.room, d.spec, -n);
     left -= n;
   }
   return left;
@@ -88,7 +84,7 @@
 ): { kind: Kind; type: MachineType; per: number }[] {
   const out: { kind: Kind; type: MachineType; per: number; cost: number }[] = [];
   for (const type of ctx.types) {
-    const per = slots(roomOfType(type), d.spec);
+    const per = slots(type, d.spec);
     if (per < 1) continue;
     for (const zone of type.zones) {
       for (const spot of d.spec.spot ? [true, false] : [false]) {
--- a/src/flock/assign.ts
+++ b/src/flock/assign.ts
@@ -1,6 +1,7 @@
 /** Which part a new job's tasks are entrusted to, and in which zone those of a constrained job must be. */
 import type { Assignment } from '../jobs/record.js';
 import { Priority, type JobSpec } from '../jobs/spec.js';
+import { covers, scale, times, TOLERANCE, ZERO, type Resources } from '../model/resources.js';
 import type { ImageId, PartId, SteadyMs, ZoneId } from '../units.js';
 import { capacityFor, reserve, willingList, type Offer, type Random } from './willing.js';
 
@@ -12,8 +13,8 @@
   readonly zones: readonly ZoneId[];
   /** Announced room of every part, our own included. */
   readonly offers: ReadonlyMap<PartId, Offer>;
-  /** By part and image: CPUs that critical work could have at once where the image is. */
-  readonly ready: ReadonlyMap<PartId, ReadonlyMap<ImageId, number>>;
+  /** By part and image: what critical work could have at once where the image is. */
+  readonly ready: ReadonlyMap<PartId, ReadonlyMap<ImageId, Resources>>;
   readonly random: Random;
 }
 
@@ -26,19 +27,23 @@
   return n;
 }
 
+const readyFor = (ctx: AssignContext, spec: JobSpec, part: PartId): Resources =>
+  ctx.ready.get(part)?.get(spec.image) ?? ZERO;
+
 /**
  * Critical work should start at once: where its image is, home if it is there, else nearest zone first, then most
  * room. null: nowhere, or not critical.
  */
 function readyPart(ctx: AssignContext, spec: JobSpec, zone: ZoneId | null, count: number): PartId | null {
   if (spec.priority !== Priority.critical) return null;
-  const cpus = (p: PartId): number => ctx.ready.get(p)?.get(spec.image) ?? 0;
+  const all = scale(spec, count);
   const able = ctx.parts.filter(
-    (p) => (zone === null || p.zone === zone) && cpus(p.part) >= spec.cpus * count,
+    (p) => (zone === null || p.zone === zone) && covers(readyFor(ctx, spec, p.part), all),
   );
   if (able.some((p) => p.part === ctx.home)) return ctx.home;
   const far = (z: ZoneId): number => (z === ctx.homeZone ? 0 : 1);
-  able.sort((a, b) => far(a.zone) - far(b.zone) || cpus(b.part) - cpus(a.part));
+  const ready = (p: PartId): number => times(readyFor(ctx, spec, p), spec);
+  able.sort((a, b) => far(a.zone) - far(b.zone) || ready(b.part) - ready(a.part));
   return able[0]?.part ?? null;
 }
 
@@ -48,7 +53,7 @@
   if (one !== null) return [{ from: 0, to: spec.tasks, part: one, zone: null }];
   if (spec.priority !== Priority.critical) return [];
   const slots = (p: PartId): number =>
-    Math.floor((ctx.ready.get(p)?.get(spec.image) ?? 0) / spec.cpus + 1e-6);
+    Math.floor(Math.min(Number.MAX_SAFE_INTEGER, times(readyFor(ctx, spec, p), spec)) + TOLERANCE);
   const far = (p: { part: PartId; zone: ZoneId }): number =>
     p.part === ctx.home ? 0 : p.zone === ctx.homeZone ? 1 : 2;
   const order = [...ctx.parts].sort((a, b) => far(a) - far(b) || slots(b.part) - slots(a.part));
--- a/src/flock/news.ts
+++ b/src/flock/news.ts
@@ -1,7 +1,8 @@
 /** The controllers' messages to each other: what is free, what runs, who asks for a share of a limit. */
 import * as v from 'valibot';
 import type { Core } from '../core.js';
-import { roomOn, type Machine, type Part, type Room } from '../parts/model.js';
+import { add, addTo, ZERO, type MutableResources, type Resources } from '../model/resources.js';
+import { roomOn, type Machine, type Part } from '../parts/model.js';
 import { usable } from '../placement/round.js';
 import type {
   ImageId,
@@ -21,6 +22,8 @@
 const HINTS = 12;
 
 const amounts = v.record(v.string(), v.number());
+/** What earlier versions, which know of CPUs only, do not read: GPUs and GB of memory. */
+const besides = v.record(v.string(), v.tuple([v.number(), v.number()]));
 const news = v.object({
   kind: v.literal('news'),
   node: v.string(),
@@ -41,6 +44,12 @@
       spare: amounts,
       images: v.record(v.string(), v.array(v.tuple([v.string(), v.number()]))),
       ready: amounts,
+      // By team, team and image, as the CPUs of the same names above.
+      besides: v.optional(v.object({ used: besides, spare: besides, ready: besides }), {
+        used: {},
+        spare: {},
+        ready: {},
+      }),
     }),
   ),
 });
@@ -51,20 +60,19 @@
   team: v.string(),
   cpus: v.number(),
   gpus: v.number(),
+  memoryGb: v.optional(v.number(), 0),
 });
 const message = v.variant('kind', [news, ask]);
 
 export type News = v.InferOutput<typeof news>;
-export interface Ask {
+export interface Ask extends Resources {
   readonly kind: 'ask';
   readonly from: PartId;
   readonly to: PartId;
   readonly team: TeamId;
-  readonly cpus: number;
-  readonly gpus: number;
 }
 
-const shapeOf = (m: Machine, r: Room): string =>
+const shapeOf = (m: Machine, r: Resources): string =>
   `${m.type}/${m.zone}/${m.spot}/${r.cpus.toFixed(2)}/${r.gpus.toFixed(2)}/${r.memoryGb.toFixed(2)}`;
 
 /** What one of our parts has free right now, less what its own queue is about to take. */
@@ -72,7 +80,7 @@
   const now = core.clock.now();
   const ctx = { now, reportMs: core.reportMs };
   const shapes = new Map<string, FreeMachine>();
-  for (const m of part.sums.withFree(0)) {
+  for (const m of part.sums.notFull()) {
     if (!usable(m, ctx)) continue;
     const room = roomOn(m, core.types.get(m.type));
     const key = shapeOf(m, room);
@@ -92,16 +100,16 @@
   return offer;
 }
 
-/** CPUs that critical work could have at once on machines with the image, lesser work making room. */
-export function readyImages(core: Core, part: Part): Map<ImageId, number> {
-  const out = new Map<ImageId, number>();
+/** What critical work could have at once on machines with the image, lesser work making room. */
+export function readyImages(core: Core, part: Part): Map<ImageId, Resources> {
+  const out = new Map<ImageId, Resources>();
   const ctx = { now: core.clock.now(), reportMs: core.reportMs };
   for (const [image, holders] of part.sums.images()) {
-    let cpus = 0;
+    const ready: MutableResources = { ...ZERO };
     for (const m of holders) {
-      if (!m.spot && usable(m, ctx)) cpus += roomOn(m, core.types.get(m.type)).cpus + m.lesserCpus;
+      if (!m.spot && usable(m, ctx)) addTo(ready, add(roomOn(m, core.types.get(m.type)), m.lesser));
     }
-    if (cpus > 0) out.set(image, cpus);
+    if (ready.cpus > 0) out.set(image, ready);
   }
   return out;
 }
@@ -124,8 +132,19 @@
 export const zoneOfPart = (core: Core, part: PartId): ZoneId =>
   core.settings.parts.find((p) => p.part === part)?.zone ?? core.settings.zone;
 
-export function usedByTeam(part: Part): Map<TeamId, number> {
-  return new Map([...part.sums.teams].map(([t, u]) => [t, u.cpus]));
+const cpusOf = (amounts: ReadonlyMap<string, Resources>): Record<string, number> =>
+  Object.fromEntries([...amounts].map(([key, amount]) => [key, amount.cpus]));
+
+type Besides = v.InferOutput<typeof besides>;
+const besidesOf = (amounts: ReadonlyMap<string, Resources>): Besides =>
+  Object.fromEntries([...amounts].map(([key, { gpus, memoryGb }]) => [key, [gpus, memoryGb]]));
+
+function joined<K extends string>(cpus: Record<string, number>, besides: Besides): Map<K, Resources> {
+  const join = ([key, cpus]: [string, number]): [K, Resources] => {
+    const [gpus, memoryGb] = besides[key] ?? [0, 0];
+    return [key as K, { cpus, gpus, memoryGb }];
+  };
+  return new Map(Object.entries(cpus).map(join));
 }
 
 function offered(core: Core, part: Part): News['parts'][number]['machines'] {
@@ -135,7 +154,7 @@
 
 export function composeNews(
   core: Core,
-  spare: (part: Part) => Map<TeamId, number>,
+  spareOf: (part: Part) => Map<TeamId, Resources>,
   strays: ReadonlyMap<PartId, number>,
 ): News {
   const running = new Map<string, number>();
@@ -155,14 +174,21 @@
     running: Object.fromEntries(running),
     strays: Object.fromEntries([...strays].map(([p, n]) => [String(p), n])),
     rented: Object.fromEntries(core.rentedHere),
-    parts: [...core.parts.values()].map((part) => ({
-      part: part.id,
-      machines: offered(core, part),
-      used: Object.fromEntries(usedByTeam(part)),
-      spare: Object.fromEntries(spare(part)),
-      ready: Object.fromEntries(core.ready.get(part.id) ?? []),
-      images: imageHints(part),
-    })),
+    parts: [...core.parts.values()].map((part) => partNews(core, part, spareOf(part))),
+  };
+}
+
+function partNews(core: Core, part: Part, spare: Map<TeamId, Resources>): News['parts'][number] {
+  const used = part.sums.teams;
+  const ready = core.ready.get(part.id) ?? new Map<ImageId, Resources>();
+  return {
+    part: part.id,
+    machines: offered(core, part),
+    used: cpusOf(used),
+    spare: cpusOf(spare),
+    ready: cpusOf(ready),
+    besides: { used: besidesOf(used), spare: besidesOf(spare), ready: besidesOf(ready) },
+    images: imageHints(part),
   };
 }
 
@@ -187,8 +213,9 @@
     if (core.parts.has(part)) continue;
     for (const [m, images] of Object.entries(p.images))
       core.imageHints.set(m as MachineId, images as [ImageId, number][]);
-    core.ready.set(part, toMap<ImageId>(p.ready));
-    core.partNews.set(part, { expires, used: toMap<TeamId>(p.used), spare: toMap<TeamId>(p.spare) });
+    core.ready.set(part, joined<ImageId>(p.ready, p.besides.ready));
+    const used = joined<TeamId>(p.used, p.besides.used);
+    core.partNews.set(part, { expires, used, spare: joined<TeamId>(p.spare, p.besides.spare) });
     const machines = p.machines.map(([type, zone, spot, cpus, gpus, memoryGb, count]) => ({
       type: type as TypeId,
       zone: zone as ZoneId,
--- a/src/flock/willing.ts
+++ b/src/flock/willing.ts
@@ -2,12 +2,11 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import type { JobSpec } from '../jobs/spec.js';
+import { fits, scale, slots, subtract, type Resources } from '../model/resources.js';
 import { allowed } from '../placement/round.js';
-import { fits } from '../placement/places.js';
-import type { Room } from '../parts/model.js';
 import type { PartId, SteadyMs, TypeId, ZoneId } from '../units.js';
 
-export interface FreeMachine extends Room {
+export interface FreeMachine extends Resources {
   readonly type: TypeId;
   readonly zone: ZoneId;
   readonly spot: boolean;
@@ -32,31 +31,20 @@
 }
 
 const roomFor = (offer: Offer, spec: JobSpec, pin: ZoneId | null): FreeMachine[] =>
-  offer.machines.filter((m) => m.count > 0 && fits(m, spec) && allowed(spec, m.type, m.zone, m.spot, pin));
+  offer.machines.filter((m) => m.count > 0 && fits(spec, m) && allowed(spec, m.type, m.zone, m.spot, pin));
 
 /** How many tasks like this fit into what is announced, by zone restriction. */
 export function capacityFor(offer: Offer, spec: JobSpec, pin: ZoneId | null): number {
   let n = 0;
-  for (const m of roomFor(offer, spec, pin)) n += m.count * slotsIn(m, spec);
+  for (const m of roomFor(offer, spec, pin)) n += m.count * slots(m, spec);
   return n;
 }
 
-function slotsIn(m: Room, spec: JobSpec): number {
-  const by = (free: number, need: number): number => (need > 0 ? Math.floor(free / need + 1e-6) : 1000);
-  return Math.min(by(m.cpus, spec.cpus), by(m.gpus, spec.gpus), by(m.memoryGb, spec.memoryGb));
-}
-
 /** `machines` of a shape get `each` tasks: they have another shape from then on. */
 function takeFrom(offer: Offer, shape: FreeMachine, spec: JobSpec, each: number, machines: number): void {
   if (machines === 0) return;
   shape.count -= machines;
-  offer.machines.push({
-    ...shape,
-    count: machines,
-    cpus: shape.cpus - each * spec.cpus,
-    gpus: shape.gpus - each * spec.gpus,
-    memoryGb: shape.memoryGb - each * spec.memoryGb,
-  });
+  offer.machines.push({ ...shape, ...subtract(shape, scale(spec, each)), count: machines });
 }
 
 /** Takes room for `count` tasks off the offer, so that the next hand-over does not promise it again. */
@@ -64,7 +52,7 @@
   let left = count;
   for (const m of roomFor(offer, spec, pin)) {
     if (left <= 0) return;
-    const each = slotsIn(m, spec);
+    const each = slots(m, spec);
     const full = Math.min(m.count, Math.floor(left / each));
     takeFrom(offer, m, spec, each, full);
     left -= full * each;
--- a/src/jobs/desk.ts
+++ b/src/jobs/desk.ts
@@ -52,10 +52,10 @@
   const team = core.settings.teams.get(spec.team);
   if (!team) return `unknown team ${spec.team}`;
   const count = spec.shape === 'array' ? 1 : spec.tasks;
-  // A limit of 0 is none.
-  const exceeds = (need: number, limit: number): boolean => limit > 0 && need > limit + 1e-9;
-  if (exceeds(spec.cpus * count, team.cpusMax)) return `needs more CPUs than the limit of team ${spec.team}`;
-  if (exceeds(spec.gpus * count, team.gpusMax)) return `needs more GPUs than the limit of team ${spec.team}`;
+  if (spec.cpus * count > team.limit.cpus + 1e-9)
+    return `needs more CPUs than the limit of team ${spec.team}`;
+  if (spec.gpus * count > team.limit.gpus + 1e-9)
+    return `needs more GPUs than the limit of team ${spec.team}`;
   for (const t of types) {
     if (t.cpus < spec.cpus || t.gpus < spec.gpus || t.memoryGb < spec.memoryGb) continue;
     if (t.zones.some((z) => allowed(spec, t.name, z, false, null))) return null;
--- a/src/parts/figures.ts
+++ b/src/parts/figures.ts
@@ -1,4 +1,5 @@
 /** What a part's room goes to, for the log: one line that says where capacity is lost. */
+import { addTo, mapResources, ZERO, type MutableResources, type Resources } from '../model/resources.js';
 import { usable } from '../placement/round.js';
 import type { SteadyMs, TeamId } from '../units.js';
 import { roomOn, type Binding, type Part } from './model.js';
@@ -7,57 +8,84 @@
   readonly machines: number;
   /** Machines that may not be placed on now: not settled, silent, unreached, failing, noticed, returning. */
   readonly unusable: number;
-  /** CPUs of all machines, and what is bound to them by phase. */
-  readonly cpus: number;
-  readonly bound: Readonly<Record<Binding['phase'] | 'stopping', number>>;
-  /** CPUs free on usable machines, and those of waiting tasks. */
-  readonly free: number;
-  readonly waiting: number;
-  /** Teams with waiting tasks: CPUs used here, this part's share of the limit, CPUs of their waiting tasks. */
-  readonly teams: Readonly<Record<string, readonly [number, number, number]>>;
+  /** Of all machines, and what is bound to them by phase. */
+  readonly capacity: Resources;
+  readonly bound: Readonly<Record<Binding['phase'] | 'stopping', Resources>>;
+  /** On usable machines, and of waiting tasks. */
+  readonly free: Resources;
+  readonly waiting: Resources;
+  /** Teams with waiting tasks; an unlimited share is logged as null. */
+  readonly teams: Readonly<Record<string, TeamFigures>>;
 }
 
+export interface TeamFigures {
+  readonly used: Resources;
+  /** This part's share of the limit. */
+  readonly share: Resources;
+  readonly waiting: Resources;
+}
+
+const rounded = (amount: Resources): Resources => mapResources((kind) => Math.round(amount[kind]));
+
 export function figuresOf(
   part: Part,
   now: SteadyMs,
   reportMs: number,
-  share: (team: TeamId) => number,
+  share: (team: TeamId) => Resources,
 ): PartFigures {
-  const bound = { ordered: 0, fetching: 0, running: 0, saving: 0, stopping: 0 };
-  let cpus = 0;
-  let free = 0;
+  const capacity: MutableResources = { ...ZERO };
+  const free: MutableResources = { ...ZERO };
+  const waiting: MutableResources = { ...ZERO };
   let unusable = 0;
   for (const m of part.machines.values()) {
-    cpus += part.types.get(m.type)?.cpus ?? 0;
-    if (usable(m, { now, reportMs })) free += roomOn(m, part.types.get(m.type)).cpus;
+    addTo(capacity, part.types.get(m.type) ?? ZERO);
+    if (usable(m, { now, reportMs })) addTo(free, roomOn(m, part.types.get(m.type)));
     else unusable += 1;
   }
-  for (const b of part.bound.values()) bound[b.stop ? 'stopping' : b.phase] += b.spec?.cpus ?? 0;
   const waits = waitingByTeam(part);
-  let waiting = 0;
-  for (const cpus of waits.values()) waiting += cpus;
-  for (const key of Object.keys(bound) as (keyof typeof bound)[]) bound[key] = Math.round(bound[key]);
+  for (const amount of waits.values()) addTo(waiting, amount);
+  const teams: Record<string, TeamFigures> = {};
+  for (const [team, amount] of waits) {
+    const used = rounded(part.sums.teams.get(team) ?? ZERO);
+    teams[team] = { used, share: rounded(share(team)), waiting: rounded(amount) };
+  }
   return {
     machines: part.machines.size,
     unusable,
-    cpus,
-    bound,
-    free: Math.round(free),
-    waiting: Math.round(waiting),
-    teams: Object.fromEntries(
-      [...waits].map(([team, cpus]) => {
-        const used = part.sums.teams.get(team)?.cpus ?? 0;
-        return [team, [Math.round(used), Math.round(share(team)), Math.round(cpus)] as const];
-      }),
-    ),
+    capacity,
+    bound: boundByPhase(part),
+    free: rounded(free),
+    waiting: rounded(waiting),
+    teams,
+  };
+}
+
+function boundByPhase(part: Part): PartFigures['bound'] {
+  const sums: Record<keyof PartFigures['bound'], MutableResources> = {
+    ordered: { ...ZERO },
+    fetching: { ...ZERO },
+    running: { ...ZERO },
+    saving: { ...ZERO },
+    stopping: { ...ZERO },
+  };
+  for (const b of part.bound.values()) addTo(sums[b.stop ? 'stopping' : b.phase], b.spec ?? ZERO);
+  const { ordered, fetching, running, saving, stopping } = sums;
+  return {
+    ordered: rounded(ordered),
+    fetching: rounded(fetching),
+    running: rounded(running),
+    saving: rounded(saving),
+    stopping: rounded(stopping),
   };
 }
 
-function waitingByTeam(part: Part): Map<TeamId, number> {
-  const out = new Map<TeamId, number>();
+function waitingByTeam(part: Part): Map<TeamId, MutableResources> {
+  const out = new Map<TeamId, MutableResources>();
   for (const job of part.queue) {
-    const cpus = job.waiting.size * job.spec.cpus;
-    if (cpus > 0) out.set(job.spec.team, (out.get(job.spec.team) ?? 0) + cpus);
+    if (job.waiting.isEmpty) continue;
+    const sum = out.get(job.spec.team) ?? { ...ZERO };
+    addTo(sum, job.spec, job.waiting.size);
+    out.set(job.spec.team, sum);
   }
   return out;
 }
--- a/src/parts/model.ts
+++ b/src/parts/model.ts
@@ -1,6 +1,7 @@
 /** What the owner of a part holds in memory: its machines, what is bound to them, and the tasks entrusted to it. */
 import type { MachineType } from '../cloud/wire.js';
 import { Priority, type JobSpec } from '../jobs/spec.js';
+import { addTo, clear, subtract, ZERO, type MutableResources, type Resources } from '../model/resources.js';
 import { assignedTo, zoneOf, type JobRecord } from '../jobs/record.js';
 import { RangeSet } from '../ranges.js';
 import type {
@@ -25,9 +26,7 @@
 import { millis, steady } from '../units.js';
 import type { ExitCause } from '../workers/wire.js';
 import { Unsettled } from './accounting.js';
-import { Sums, type Amount, type Room } from './sums.js';
-
-export type { Room } from './sums.js';
+import { Sums } from './sums.js';
 
 /** A direct launch without an answer: it may be carried out as long as token and session match. */
 export interface Doubt {
@@ -92,9 +91,9 @@
   takenAt: SteadyMs | null;
   readonly bindings: Map<TaskId, Binding>;
   /** What the bindings take together, kept up to date with them. */
-  readonly used: Room;
-  /** CPUs of bindings below critical, and how many bindings are of unknown size. */
-  lesserCpus: number;
+  readonly used: MutableResources;
+  /** What bindings below critical take of it, and how many bindings are of unknown size. */
+  readonly lesser: MutableResources;
   unknownSize: number;
   /** How many bindings need each image: it is there, or on its way. */
   readonly wanted: Map<ImageId, number>;
@@ -170,7 +169,7 @@
   roomless: ReadonlySet<TeamId> = new Set();
   limited: ReadonlySet<TeamId> = new Set();
   /** By who may be stopped: a search that found nobody, for how much room, and until when it need not be repeated. */
-  readonly fruitless = new Map<string, { readonly need: Room; readonly until: SteadyMs }>();
+  readonly fruitless = new Map<string, { readonly need: Resources; readonly until: SteadyMs }>();
   /** Machines that may have something to be told directly. */
   readonly due = new Set<Machine>();
   /** Told to stop and not yet seen gone. */
@@ -388,8 +387,8 @@
     settled,
     takenAt: null,
     bindings: new Map(),
-    used: { cpus: 0, gpus: 0, memoryGb: 0 },
-    lesserCpus: 0,
+    used: { ...ZERO },
+    lesser: { ...ZERO },
     unknownSize: 0,
     wanted: new Map(),
     exited: new Map(),
@@ -441,13 +440,12 @@
   part.sums.count(machine, -1);
   if (!spec) machine.unknownSize += sign;
   else {
-    const { used } = machine;
-    const alone = machine.bindings.size === 0;
-    used.cpus = alone ? 0 : used.cpus + sign * spec.cpus;
-    used.gpus = alone ? 0 : used.gpus + sign * spec.gpus;
-    used.memoryGb = alone ? 0 : used.memoryGb + sign * spec.memoryGb;
-    if (alone) machine.lesserCpus = 0;
-    else if (spec.priority !== Priority.critical) machine.lesserCpus += sign * spec.cpus;
+    const sums = spec.priority === Priority.critical ? [machine.used] : [machine.used, machine.lesser];
+    for (const sum of sums) addTo(sum, spec, sign);
+    if (machine.bindings.size === 0) {
+      clear(machine.used);
+      clear(machine.lesser);
+    }
     part.sums.use(spec, sign);
     const wanted = (machine.wanted.get(spec.image) ?? 0) + sign;
     if (wanted > 0) machine.wanted.set(spec.image, wanted);
@@ -492,24 +490,19 @@
 }
 
 /** What is free on a machine; nothing while something of unknown size is on it. */
-export function roomOn(machine: Machine, type: MachineType | undefined): Room {
-  if (!type || machine.unknownSize > 0) return { cpus: 0, gpus: 0, memoryGb: 0 };
-  const { used } = machine;
-  return {
-    cpus: type.cpus - used.cpus,
-    gpus: type.gpus - used.gpus,
-    memoryGb: type.memoryGb - used.memoryGb,
-  };
+export function roomOn(machine: Machine, type: MachineType | undefined): MutableResources {
+  if (!type || machine.unknownSize > 0) return { ...ZERO };
+  return subtract(type, machine.used);
 }
 
 /** What each team's tasks may be using at most: bound tasks, and whole machines that we cannot account for. */
 export interface Usage {
-  readonly teams: ReadonlyMap<TeamId, Readonly<Amount>>;
-  readonly cpusAnybody: number;
-  readonly gpusAnybody: number;
+  readonly teams: ReadonlyMap<TeamId, Resources>;
+  /** May be any one team's. */
+  readonly anybody: Resources;
 }
 
 export const usageOf = (part: Part): Usage => ({
   teams: part.sums.teams,
-  ...part.sums.unclear(part.types),
+  anybody: part.sums.unclear(part.types),
 });
--- a/src/parts/sums.ts
+++ b/src/parts/sums.ts
@@ -3,32 +3,64 @@
  * and which hold an image. Kept up to date with every binding, so that no decision walks over all machines.
  */
 import type { MachineType } from '../cloud/wire.js';
+import {
+  addTo,
+  clear,
+  dominantKind,
+  largestOf,
+  RESOURCE_KINDS,
+  TOLERANCE,
+  UNLIMITED,
+  ZERO,
+  type MutableResources,
+  type ResourceKind,
+  type Resources,
+} from '../model/resources.js';
 import type { JobSpec } from '../jobs/spec.js';
 import type { ImageId, TeamId, TypeId } from '../units.js';
 import { isUnclear, roomOn, type Machine } from './model.js';
 
-export interface Room {
-  cpus: number;
-  gpus: number;
-  memoryGb: number;
-}
+/** A machine without anything free of a resource is in no level of it. */
+const FULL = -1;
+
+/** Machines by how much they have free of one resource, rounded down. */
+class FreeLevels {
+  private readonly levels: (Set<Machine> | undefined)[] = [];
+  private readonly levelOf = new Map<Machine, number>();
 
-export interface Amount {
-  cpus: number;
-  gpus: number;
+  file(machine: Machine, free: number): void {
+    const level = free <= TOLERANCE ? FULL : Math.floor(free + TOLERANCE);
+    const before = this.levelOf.get(machine);
+    if (before === level) return;
+    if (before !== undefined) this.levels[before]?.delete(machine);
+    this.levelOf.set(machine, level);
+    if (level !== FULL) (this.levels[level] ??= new Set()).add(machine);
+  }
+
+  forget(machine: Machine): void {
+    const level = this.levelOf.get(machine);
+    if (level !== undefined) this.levels[level]?.delete(machine);
+    this.levelOf.delete(machine);
+  }
+
+  *from(amount: number): Generator<Machine> {
+    for (let i = Math.floor(amount); i < this.levels.length; i += 1) yield* this.levels[i] ?? NOBODY;
+  }
 }
 
-const SLACK = 1e-6;
-/** A machine without any free CPU is in no level. */
-const FULL = -1;
+interface TeamUse extends MutableResources {
+  tasks: number;
+}
 
 export class Sums {
-  readonly teams = new Map<TeamId, Amount & { tasks: number }>();
+  readonly teams = new Map<TeamId, TeamUse>();
   private readonly unclearByType = new Map<TypeId, number>();
   private readonly holders = new Map<ImageId, Set<Machine>>();
-  /** Machines by their free CPUs, rounded down. */
-  private readonly levels: (Set<Machine> | undefined)[] = [];
-  private readonly levelOf = new Map<Machine, number>();
+  private readonly free: Readonly<Record<ResourceKind, FreeLevels>> = {
+    cpus: new FreeLevels(),
+    gpus: new FreeLevels(),
+    memoryGb: new FreeLevels(),
+  };
 
   /** Adds or removes a machine that we cannot account for; called around every change that could make it one. */
   count(machine: Machine, sign: 1 | -1): void {
@@ -37,25 +69,20 @@
   }
 
   /** Guards the limit after a takeover: a machine not heard from may be full of any one team's tasks. */
-  unclear(types: ReadonlyMap<TypeId, MachineType>): { cpusAnybody: number; gpusAnybody: number } {
-    let cpusAnybody = 0;
-    let gpusAnybody = 0;
-    for (const [name, n] of this.unclearByType) {
-      if (n === 0) continue;
-      const type = types.get(name);
-      cpusAnybody += n * (type?.cpus ?? Infinity);
-      gpusAnybody += n * (type?.gpus ?? Infinity);
+  unclear(types: ReadonlyMap<TypeId, MachineType>): Resources {
+    const sum: MutableResources = { ...ZERO };
+    for (const [name, count] of this.unclearByType) {
+      if (count > 0) addTo(sum, types.get(name) ?? UNLIMITED, count);
     }
-    return { cpusAnybody, gpusAnybody };
+    return sum;
   }
 
   use(spec: JobSpec, sign: 1 | -1): void {
-    const t = this.teams.get(spec.team) ?? { cpus: 0, gpus: 0, tasks: 0 };
-    t.tasks += sign;
-    // Exact again whenever nothing is left: sums of fractions must not drift.
-    t.cpus = t.tasks === 0 ? 0 : t.cpus + sign * spec.cpus;
-    t.gpus = t.tasks === 0 ? 0 : t.gpus + sign * spec.gpus;
-    this.teams.set(spec.team, t);
+    const team = this.teams.get(spec.team) ?? { ...ZERO, tasks: 0 };
+    team.tasks += sign;
+    if (team.tasks === 0) clear(team);
+    else addTo(team, spec, sign);
+    this.teams.set(spec.team, team);
   }
 
   holds(image: ImageId, machine: Machine, yes: boolean): void {
@@ -76,24 +103,26 @@
 
   /** Files the machine under what it has free now. */
   level(machine: Machine, types: ReadonlyMap<TypeId, MachineType>): void {
-    const { cpus } = roomOn(machine, types.get(machine.type));
-    const level = cpus <= SLACK ? FULL : Math.floor(cpus + SLACK);
-    const before = this.levelOf.get(machine);
-    if (before === level) return;
-    if (before !== undefined) this.levels[before]?.delete(machine);
-    this.levelOf.set(machine, level);
-    if (level !== FULL) (this.levels[level] ??= new Set()).add(machine);
+    const room = roomOn(machine, types.get(machine.type));
+    for (const kind of RESOURCE_KINDS) this.free[kind].file(machine, room[kind]);
   }
 
   forget(machine: Machine): void {
-    const level = this.levelOf.get(machine);
-    if (level !== undefined) this.levels[level]?.delete(machine);
-    this.levelOf.delete(machine);
+    for (const kind of RESOURCE_KINDS) this.free[kind].forget(machine);
+  }
+
+  /**
+   * Machines with at least as much free of the resource of which the need takes most: every machine that has room is
+   * among them, and the fewest others.
+   */
+  withFree(need: Resources, types: ReadonlyMap<TypeId, MachineType>): Iterable<Machine> {
+    const kind = dominantKind(need, largestOf(types.values()));
+    return this.free[kind].from(need[kind]);
   }
 
-  /** Machines with at least that many CPUs free. */
-  *withFree(cpus: number): Generator<Machine> {
-    for (let i = Math.floor(cpus); i < this.levels.length; i += 1) yield* this.levels[i] ?? NOBODY;
+  /** Machines on which any CPU is free: without one nothing starts. */
+  notFull(): Iterable<Machine> {
+    return this.free.cpus.from(0);
   }
 }
 
--- a/src/placement/gather.ts
+++ b/src/placement/gather.ts
@@ -2,10 +2,23 @@
  * Moves replicas together once nothing waits and half of all room is free: a machine kept for one replica costs as much as a full one. One at a
  * time, from the machine with the fewest to one that holds the image, so that it is away for a moment only. Pure.
  */
+import {
+  addTo,
+  asCpus,
+  fits,
+  freeAsCpus,
+  isZero,
+  largestOf,
+  scale,
+  sizeOf,
+  subtract,
+  TOLERANCE,
+  ZERO,
+  type MutableResources,
+} from '../model/resources.js';
 import type { Binding, Machine, Part } from '../parts/model.js';
 import { isUnclear, pinOf, roomOn } from '../parts/model.js';
 import { allowed, usable, type PlanContext } from './round.js';
-import { fits } from './places.js';
 
 export interface Move {
   readonly binding: Binding;
@@ -34,21 +47,28 @@
 
 /** While there is work, spread replicas lose less with a machine, and holders of an image have work that can make way. */
 function isMostlyFree(part: Part, ctx: Context): boolean {
-  let total = 0;
-  let used = 0;
+  const total: MutableResources = { ...ZERO };
+  const used: MutableResources = { ...ZERO };
   for (const m of part.machines.values()) {
-    total += ctx.types.get(m.type)?.cpus ?? 0;
-    used += m.used.cpus;
+    addTo(total, ctx.types.get(m.type) ?? ZERO);
+    addTo(used, m.used);
   }
-  return used * 2 <= total;
+  return fits(scale(used, 2), total);
+}
+
+/** By the dominant resource, as CPUs of the machine. */
+const loadOf = (m: Machine, ctx: Context): number => asCpus(m.used, ctx.types.get(m.type) ?? ZERO);
+
+function criticalLoadOf(m: Machine, ctx: Context): number {
+  return asCpus(subtract(m.used, m.lesser), ctx.types.get(m.type) ?? ZERO);
 }
 
 /** Of the machines with nothing but settled replicas the one with the least on it. */
 function emptiest(part: Part, ctx: Context): Machine | null {
   let best: Machine | null = null;
   for (const m of part.machines.values()) {
-    if (m.bindings.size === 0 || m.lesserCpus > 1e-6 || isUnclear(m) || !usable(m, ctx)) continue;
-    if (best && m.used.cpus >= best.used.cpus) continue;
+    if (m.bindings.size === 0 || !isZero(m.lesser) || isUnclear(m) || !usable(m, ctx)) continue;
+    if (best && loadOf(m, ctx) >= loadOf(best, ctx)) continue;
     if ([...m.bindings.values()].every((b) => settled(b, ctx))) best = m;
   }
   return best;
@@ -60,8 +80,8 @@
   b.runningSince !== null &&
   ctx.now - b.runningSince > SETTLED_FOR;
 
-/** Kept free where an image is, for the next service that comes: as much as the largest machine has. */
-const headroomCpus = (ctx: Context): number => Math.max(...[...ctx.types.values()].map((t) => t.cpus));
+/** Kept free where an image is, for the next service that comes: as much as the largest machine has, in CPUs. */
+const headroomCpus = (ctx: Context): number => largestOf(ctx.types.values()).cpus;
 
 /** The fullest machine that holds the image and has more on it than the one to be freed. */
 function target(
@@ -78,16 +98,12 @@
   let headroom = 0;
   for (const m of part.sums.holdersOf(b.spec.image)) {
     if (m === from || !usable(m, ctx) || !allowed(b.spec, m.type, m.zone, m.spot, pin)) continue;
-    const room = roomOn(m, ctx.types.get(m.type));
-    const n = taken.get(m) ?? 0;
-    const left = {
-      ...room,
-      cpus: room.cpus - n * b.spec.cpus,
-      memoryGb: room.memoryGb - n * b.spec.memoryGb,
-    };
-    headroom += Math.max(0, left.cpus);
-    if (m.used.cpus - m.lesserCpus <= from.used.cpus - 1e-6 || !fits(left, b.spec)) continue;
-    if (!best || m.used.cpus > best.used.cpus) best = m;
+    const type = ctx.types.get(m.type) ?? ZERO;
+    const left = subtract(roomOn(m, ctx.types.get(m.type)), scale(b.spec, taken.get(m) ?? 0));
+    headroom += Math.max(0, freeAsCpus(left, type, b.spec));
+    if (criticalLoadOf(m, ctx) <= loadOf(from, ctx) - TOLERANCE || !fits(b.spec, left)) continue;
+    if (!best || loadOf(m, ctx) > loadOf(best, ctx)) best = m;
   }
-  return headroom >= headroomCpus(ctx) + b.spec.cpus ? best : null;
+  const needed = headroomCpus(ctx) + sizeOf(b.spec, ctx.types.values());
+  return headroom >= needed ? best : null;
 }
--- a/src/placement/places.ts
+++ b/src/placement/places.ts
@@ -1,16 +1,20 @@
 /** Where tasks of one job may start, best first. Pure: it reads the part and the room that a round has left. */
 import type { MachineType } from '../cloud/wire.js';
 import type { JobSpec } from '../jobs/spec.js';
-import type { Machine, Part, PartJob, Room } from '../parts/model.js';
+import {
+  add,
+  dominantShare,
+  fits,
+  freeAsCpus,
+  isZero,
+  subtract,
+  TOLERANCE,
+  ZERO,
+  type Resources,
+} from '../model/resources.js';
+import type { Machine, Part, PartJob } from '../parts/model.js';
 import type { SteadyMs, TypeId } from '../units.js';
 
-export function fits(room: Room, spec: JobSpec): boolean {
-  const slack = 1e-6;
-  return (
-    room.cpus + slack >= spec.cpus && room.gpus + slack >= spec.gpus && room.memoryGb + slack >= spec.memoryGb
-  );
-}
-
 export function compareKeys(a: readonly number[], b: readonly number[]): number {
   for (let i = 0; i < a.length; i += 1) {
     const d = (a[i] as number) - (b[i] as number);
@@ -21,7 +25,7 @@
 
 interface Place {
   readonly machine: Machine;
-  readonly room: Room;
+  readonly room: Resources;
   readonly key: readonly number[];
 }
 
@@ -43,7 +47,7 @@
     private readonly job: PartJob,
     private readonly types: ReadonlyMap<TypeId, MachineType>,
     /** What the round has left on a machine; null: nothing of the job may start there. */
-    private readonly roomOf: (m: Machine) => Room | null,
+    private readonly roomOf: (m: Machine) => Resources | null,
     private readonly now: SteadyMs,
   ) {}
 
@@ -52,7 +56,7 @@
     const { job } = this;
     if (first) {
       const room = this.roomOf(first);
-      if (room && fits(room, job.spec)) return first;
+      if (room && fits(job.spec, room)) return first;
     }
     this.groups ??= grouped(this.find());
     // Batch work fills the best machine before the next; replicas take turns among machines of the best kind.
@@ -62,7 +66,7 @@
         const place = group[this.at % group.length] as Place;
         const { machine, room } = place;
         const crowded = isCrowded(machine, room, job.spec, this.types.get(machine.type), this.now);
-        const fitting = !crowded && fits(room, job.spec);
+        const fitting = !crowded && fits(job.spec, room);
         if (!fill || !fitting) this.at += 1;
         if (fitting) return place.machine;
       }
@@ -73,21 +77,21 @@
   private find(): Place[] {
     const { part, job } = this;
     const out: Place[] = [];
-    for (const machine of part.sums.withFree(job.spec.cpus)) {
+    for (const machine of part.sums.withFree(job.spec, this.types)) {
       const room = this.roomOf(machine);
-      if (room && fits(room, job.spec)) out.push({ machine, room, key: this.keyOf(machine, room) });
+      if (room && fits(job.spec, room)) out.push({ machine, room, key: this.keyOf(machine, room) });
     }
     return out.sort((a, b) => compareKeys(a.key, b.key));
   }
 
   /** The first two say of what kind the place is. */
-  private keyOf(m: Machine, room: Room): readonly number[] {
+  private keyOf(m: Machine, room: Resources): readonly number[] {
     const { spec } = this.job;
     // A machine on which the job failed is the last choice for it.
     const failed = this.job.errorMachines.has(m.id) ? 1 : 0;
     const holder = m.images.has(spec.image);
-    const total = this.types.get(m.type)?.cpus ?? 1;
-    const crowd = spec.shape === 'service' ? crowding(m, room, spec, total) : 0;
+    const capacity = this.types.get(m.type) ?? ZERO;
+    const crowd = spec.shape === 'service' ? crowding(m, room, spec, capacity) : 0;
     // Only a fetch that another machine would need too: replicas rather bring the image to one more machine.
     const coming = !holder && m.wanted.has(spec.image) && crowd < CROWD_STEPS;
     // Among holders batch work fills the fullest machine first: idle ones can be returned, and large gaps stay.
@@ -95,17 +99,19 @@
     // What would lose its work with a machine that may be taken goes to one that may not, while there is room.
     const risky = m.spot && spec.checkpointS === 0 ? 1 : 0;
     // Replicas stay together: machines without any come free when batch work ends, and are returned.
-    const lonely = spec.shape === 'service' && criticalCpus(m) < 1e-6 ? 1 : 0;
-    const free = pack ? room.cpus : -(room.cpus + room.cpus / total);
-    return [failed, holder ? 0 : coming ? 1 : 2, risky, crowd, lonely, free];
+    const lonely = spec.shape === 'service' && isZero(criticalOn(m)) ? 1 : 0;
+    const free = freeAsCpus(room, capacity, spec);
+    const order = pack ? free : -(free + free / Math.max(1, capacity.cpus));
+    return [failed, holder ? 0 : coming ? 1 : 2, risky, crowd, lonely, order];
   }
 }
 
-const criticalCpus = (m: Machine): number => m.used.cpus - m.lesserCpus;
+const criticalOn = (m: Machine): Resources => subtract(m.used, m.lesser);
 
 /** In steps: what replicas would take of the machine, those of this round included, who are placed before others. */
-function crowding(m: Machine, room: Room, spec: JobSpec, total: number): number {
-  return Math.ceil((CROWD_STEPS * (total - m.lesserCpus - room.cpus + spec.cpus)) / total - 1e-6);
+function crowding(m: Machine, room: Resources, spec: JobSpec, capacity: Resources): number {
+  const taken = add(subtract(subtract(capacity, m.lesser), room), spec);
+  return Math.ceil(CROWD_STEPS * dominantShare(taken, capacity) - TOLERANCE);
 }
 
 /**
@@ -114,13 +120,13 @@
  */
 export function isCrowded(
   m: Machine,
-  room: Room,
+  room: Resources,
   spec: JobSpec,
   type: MachineType | undefined,
   now: SteadyMs,
 ): boolean {
   if (spec.shape !== 'service' || now - m.since > JUST_COME || m.images.has(spec.image)) return false;
-  return crowding(m, room, spec, type?.cpus ?? 1) >= CROWD_STEPS;
+  return crowding(m, room, spec, type ?? ZERO) >= CROWD_STEPS;
 }
 
 function grouped(places: readonly Place[]): Place[][] {
--- a/src/placement/plan.ts
+++ b/src/placement/plan.ts
@@ -3,7 +3,8 @@
  * without room. Pure: it reads the part and returns decisions.
  */
 import { Priority, type JobSpec } from '../jobs/spec.js';
-import { pinOf, type Binding, type Machine, type Part, type PartJob, type Room } from '../parts/model.js';
+import { RESOURCE_KINDS, sizeOf, TOLERANCE, ZERO, type Resources } from '../model/resources.js';
+import { pinOf, type Binding, type Machine, type Part, type PartJob } from '../parts/model.js';
 import type { ZoneId } from '../units.js';
 import { compareKeys, Places } from './places.js';
 import {
@@ -16,6 +17,7 @@
   startRound,
   take,
   usedHere,
+  usedWith,
   withinShare,
   type Plan,
   type PlanContext,
@@ -49,6 +51,7 @@
 function rank(part: Part, job: PartJob, ctx: PlanContext): Ranked {
   const spec = job.spec;
   const estimate = spec.estimateS * ctx.correction(spec.lane) * 1000;
+  const size = sizeOf(spec, ctx.types.values());
   const due = deadlineAt(job);
   const late = lateness(job, estimate, ctx);
   const starving = starved(part, job, ctx);
@@ -62,7 +65,7 @@
     // go first instead, in steps of a factor of two: most jobs are then done in time.
     due === Infinity || late === 2
       ? 0
-      : Math.round(Math.log2(1 + (job.waiting.size * spec.cpus * estimate) / 1000) - aged),
+      : Math.round(Math.log2(1 + (job.waiting.size * size * estimate) / 1000) - aged),
     due === Infinity ? Number.MAX_SAFE_INTEGER : due,
     job.firstSeen,
   ];
@@ -166,21 +169,25 @@
   if (noLimit.length > 0) plan.unplaced.push({ job, reason: 'limit', indices: noLimit });
 }
 
-/** A team at its limit: its critical tasks get what its own lesser work uses. */
+/** A team at its limit: its critical tasks get what its own lesser work uses of the resources that are short. */
 function makeShare(part: Part, job: PartJob, count: number, s: Scratch, ctx: PlanContext, plan: Plan): void {
   const { spec } = job;
-  let freed = s.leaving.get(spec.team) ?? 0;
-  if (freed >= count * spec.cpus) return;
+  const share = ctx.share(spec.team);
+  const used = usedWith(spec, s);
+  const short = RESOURCE_KINDS.filter((kind) => spec[kind] > 0 && used[kind] > share[kind] + TOLERANCE);
+  const isEnough = (freed: Resources): boolean => short.every((kind) => freed[kind] >= count * spec[kind]);
+  const freed = (): Resources => s.leaving.get(spec.team) ?? ZERO;
+  if (isEnough(freed())) return;
   const own: Binding[] = [];
   for (const [id, bindings] of part.boundOf) {
     const lesser = part.jobs.get(id)?.spec;
     if (lesser?.team !== spec.team || lesser.priority <= spec.priority) continue;
+    if (!short.some((kind) => lesser[kind] > 0)) continue;
     for (const b of bindings) if (b.spec && !b.stop && !s.stopping.has(b)) own.push(b);
   }
-  own.sort((a, b) => lostWork(a, ctx.now) - lostWork(b, ctx.now));
-  for (const b of own) {
-    if (freed >= count * spec.cpus) return;
-    freed += b.spec?.cpus ?? 0;
+  const costs = own.map((b) => ({ b, lost: lostWork(b, ctx) })).sort((x, y) => x.lost - y.lost);
+  for (const { b } of costs) {
+    if (isEnough(freed())) return;
     s.stopping.add(b);
     leaving(s, b.spec as JobSpec);
     plan.stops.push({ binding: b, grace: graceFor(b) });
@@ -196,7 +203,7 @@
 }
 
 function placesFor(part: Part, job: PartJob, pin: ZoneId | null, s: Scratch, ctx: PlanContext): Places {
-  const roomOf = (m: Machine): Room | null =>
+  const roomOf = (m: Machine): Resources | null =>
     allowed(job.spec, m.type, m.zone, m.spot, pin) ? scratchRoom(m, s, ctx) : null;
   return new Places(part, job, ctx.types, roomOf, ctx.now);
 }
--- a/src/placement/round.ts
+++ b/src/placement/round.ts
@@ -2,14 +2,15 @@
 import type { MachineType } from '../cloud/wire.js';
 import type { JobSpec } from '../jobs/spec.js';
 import {
-  roomOn,
-  usageOf,
-  type Binding,
-  type Machine,
-  type Part,
-  type PartJob,
-  type Room,
-} from '../parts/model.js';
+  add,
+  addTo,
+  fits,
+  subtract,
+  ZERO,
+  type MutableResources,
+  type Resources,
+} from '../model/resources.js';
+import { roomOn, usageOf, type Binding, type Machine, type Part, type PartJob } from '../parts/model.js';
 import type { Team } from '../settings/settings.js';
 import type { JobId, MachineId, SteadyMs, TeamId, TypeId, ZoneId } from '../units.js';
 
@@ -18,9 +19,9 @@
   readonly types: ReadonlyMap<TypeId, MachineType>;
   readonly teams: ReadonlyMap<TeamId, Team>;
   /** This part's share of the team's limit. */
-  readonly share: (team: TeamId) => { cpus: number; gpus: number };
-  /** CPUs of the team in use on other parts, by their announcements. */
-  readonly usedElsewhere: (team: TeamId) => number;
+  readonly share: (team: TeamId) => Resources;
+  /** What the team uses on other parts, by their announcements. */
+  readonly usedElsewhere: (team: TeamId) => Resources;
   /** Does the job fit into its team's guarantee together with the team's earlier unfinished jobs? */
   readonly guaranteed: (job: JobId) => boolean;
   /** Has a peer announced room for a task like this? Then it is asked before anybody is stopped. */
@@ -61,34 +62,30 @@
 
 export interface Scratch {
   /** Room for starts of this round, of machines that were looked at. */
-  readonly room: Map<MachineId, Room>;
+  readonly room: Map<MachineId, MutableResources>;
   /** Room on machines where tasks were stopped in this round: for holds, not for starts. */
-  readonly soon: Map<MachineId, Room>;
-  readonly used: Map<TeamId, { cpus: number; gpus: number }>;
-  readonly anybody: { cpus: number; gpus: number };
+  readonly soon: Map<MachineId, MutableResources>;
+  readonly used: Map<TeamId, Resources>;
+  readonly anybody: Resources;
   readonly stopping: Set<Binding>;
-  readonly leaving: Map<TeamId, number>;
+  readonly leaving: Map<TeamId, Resources>;
   searches: number;
 }
 
-export const usedHere = (s: Scratch, team: TeamId): { cpus: number; gpus: number } =>
-  s.used.get(team) ?? { cpus: 0, gpus: 0 };
+export const usedHere = (s: Scratch, team: TeamId): Resources => s.used.get(team) ?? ZERO;
 
-export const staying = (s: Scratch, team: TeamId, ctx: PlanContext): number =>
-  usedHere(s, team).cpus - (s.leaving.get(team) ?? 0) + ctx.usedElsewhere(team);
+export const staying = (s: Scratch, team: TeamId, ctx: PlanContext): Resources =>
+  add(subtract(usedHere(s, team), s.leaving.get(team) ?? ZERO), ctx.usedElsewhere(team));
 
-export function withinShare(spec: JobSpec, s: Scratch, ctx: PlanContext): boolean {
-  const used = usedHere(s, spec.team);
-  const share = ctx.share(spec.team);
-  const slack = 1e-6;
-  return (
-    used.cpus + s.anybody.cpus + spec.cpus <= share.cpus + slack &&
-    used.gpus + s.anybody.gpus + spec.gpus <= share.gpus + slack
-  );
-}
+/** What the team may be using here with one more task of the job. */
+export const usedWith = (spec: JobSpec, s: Scratch): Resources =>
+  add(add(usedHere(s, spec.team), s.anybody), spec);
+
+export const withinShare = (spec: JobSpec, s: Scratch, ctx: PlanContext): boolean =>
+  fits(usedWith(spec, s), ctx.share(spec.team));
 
 /** Room as this round leaves it; null: nothing may start there. */
-export function scratchRoom(m: Machine, s: Scratch, ctx: PlanContext): Room | null {
+export function scratchRoom(m: Machine, s: Scratch, ctx: PlanContext): MutableResources | null {
   const known = s.room.get(m.id);
   if (known) return known;
   if (!usable(m, ctx)) return null;
@@ -97,21 +94,17 @@
   return room;
 }
 
-export function take(room: Room | null | undefined, spec: JobSpec, sign: 1 | -1): void {
-  if (!room) return;
-  room.cpus -= sign * spec.cpus;
-  room.gpus -= sign * spec.gpus;
-  room.memoryGb -= sign * spec.memoryGb;
+export function take(room: MutableResources | null | undefined, spec: JobSpec, sign: 1 | -1): void {
+  if (room) addTo(room, spec, -sign);
 }
 
 /** Told to stop: it no longer counts for the team's guarantee, but for its limit until it is seen gone. */
 export function leaving(s: Scratch, spec: JobSpec): void {
-  s.leaving.set(spec.team, (s.leaving.get(spec.team) ?? 0) + spec.cpus);
+  s.leaving.set(spec.team, add(s.leaving.get(spec.team) ?? ZERO, spec));
 }
 
 export function charge(s: Scratch, spec: JobSpec): void {
-  const used = usedHere(s, spec.team);
-  s.used.set(spec.team, { cpus: used.cpus + spec.cpus, gpus: used.gpus + spec.gpus });
+  s.used.set(spec.team, add(usedHere(s, spec.team), spec));
 }
 
 export function deadlineAt(job: PartJob): number {
@@ -151,13 +144,14 @@
   const s: Scratch = {
     room: new Map(),
     soon: new Map(),
-    used: new Map(),
-    anybody: { cpus: usage.cpusAnybody, gpus: usage.gpusAnybody },
+    used: new Map(
+      [...usage.teams].map(([team, { cpus, gpus, memoryGb }]) => [team, { cpus, gpus, memoryGb }]),
+    ),
+    anybody: usage.anybody,
     stopping: new Set(),
     leaving: new Map(),
     searches: 0,
   };
-  for (const [team, { cpus, gpus }] of usage.teams) s.used.set(team, { cpus, gpus });
   for (const b of part.stopping) if (b.spec) leaving(s, b.spec);
   return s;
 }
--- a/src/placement/scheduler.ts
+++ b/src/placement/scheduler.ts
@@ -5,6 +5,7 @@
 import { capacityFor } from '../flock/willing.js';
 import type { JobRecord } from '../jobs/record.js';
 import type { JobSpec } from '../jobs/spec.js';
+import { add, addTo, ZERO, type MutableResources, type Resources } from '../model/resources.js';
 import { bind, unbind, type Binding, type Machine, type Part, type PartJob } from '../parts/model.js';
 import { Guarantees } from '../quota/guarantee.js';
 import type { QuotaDesk } from '../quota/desk.js';
@@ -120,21 +121,17 @@
   private context(now: SteadyMs, part: Part): PlanContext {
     const { core } = this;
     const others = [...core.settings.parts].filter((p) => p.part !== part.id);
-    const elsewhere = new Map<TeamId, number>();
+    const elsewhere = new Map<TeamId, Resources>();
     for (const { part: id } of others) {
-      const own = core.parts.get(id);
-      if (own)
-        for (const [team, u] of own.sums.teams) elsewhere.set(team, (elsewhere.get(team) ?? 0) + u.cpus);
-      else
-        for (const [team, cpus] of core.partNews.get(id)?.used ?? [])
-          elsewhere.set(team, (elsewhere.get(team) ?? 0) + cpus);
+      const used = core.parts.get(id)?.sums.teams ?? core.partNews.get(id)?.used ?? [];
+      for (const [team, amount] of used) elsewhere.set(team, add(elsewhere.get(team) ?? ZERO, amount));
     }
     return {
       now,
       types: core.types,
       teams: core.settings.teams,
       share: (team) => this.quota.share(part.id, team),
-      usedElsewhere: (team) => elsewhere.get(team) ?? 0,
+      usedElsewhere: (team) => elsewhere.get(team) ?? ZERO,
       guaranteed: remembered((job) => this.guarantees.has(job)),
       peerHasRoom: (spec) => this.peerHasRoom(part, spec, now),
       latest: (lane) => core.settings.latest.get(lane) ?? 1,
@@ -233,13 +230,12 @@
   }
 
   private askForShares(part: Part, plan: Plan): void {
-    const need = new Map<TeamId, { cpus: number; gpus: number }>();
+    const need = new Map<TeamId, MutableResources>();
     for (const u of plan.unplaced) {
       if (u.reason !== 'limit') continue;
-      const n = need.get(u.job.spec.team) ?? { cpus: 0, gpus: 0 };
-      n.cpus += countOf(u) * u.job.spec.cpus;
-      n.gpus += countOf(u) * u.job.spec.gpus;
-      need.set(u.job.spec.team, n);
+      const sum = need.get(u.job.spec.team) ?? { ...ZERO };
+      addTo(sum, u.job.spec, countOf(u));
+      need.set(u.job.spec.team, sum);
     }
     for (const [team, amount] of need) this.quota.request(part, team, amount);
   }
--- a/src/placement/victims.ts
+++ b/src/placement/victims.ts
@@ -1,9 +1,20 @@
 /** Which tasks stop to make room for one that goes first. Pure. */
 import { Priority, type JobSpec } from '../jobs/spec.js';
-import type { Binding, Machine, Part, PartJob, Room } from '../parts/model.js';
+import {
+  add,
+  covers,
+  fits,
+  isZero,
+  RESOURCE_KINDS,
+  sizeOf,
+  TOLERANCE,
+  type MutableResources,
+  type Resources,
+} from '../model/resources.js';
+import type { Binding, Machine, Part, PartJob } from '../parts/model.js';
 import type { SteadyMs, ZoneId } from '../units.js';
 import { millis, plus } from '../units.js';
-import { fits, isCrowded } from './places.js';
+import { isCrowded } from './places.js';
 import {
   allowed,
   charge,
@@ -26,17 +37,20 @@
 /** How long a task waits for a peer with announced room, or for room to come free, before others are stopped. */
 const CRITICAL_PATIENCE = 400;
 const PATIENCE = 1500;
-/** Work in CPU milliseconds, for each CPU, that one step of a job's deadline weighs as much as. */
+/** Work in CPU milliseconds, for each CPU of its size, that one step of a job's deadline weighs as much as. */
 const PROMISE_WORTH = 20_000;
 const SEARCH_AGAIN = 700;
 const MAX_FRUITLESS = 200;
 
-/** Work lost when this task is stopped now, in CPU milliseconds. */
-export function lostWork(b: Binding, now: SteadyMs): number {
+type SizeContext = Pick<PlanContext, 'now' | 'types'>;
+
+/** Work lost when this task is stopped now: its size in CPUs, by its dominant resource, times milliseconds. */
+export function lostWork(b: Binding, ctx: SizeContext): number {
   if (!b.spec) return 0;
-  if (b.runningSince === null) return 0.5 * b.spec.cpus * 1000;
-  const run = now - b.runningSince;
-  return b.spec.cpus * (b.spec.checkpointS > 0 ? Math.min(run, b.spec.saveS * 1000) : run);
+  const size = sizeOf(b.spec, ctx.types.values());
+  if (b.runningSince === null) return 0.5 * size * 1000;
+  const run = ctx.now - b.runningSince;
+  return size * (b.spec.checkpointS > 0 ? Math.min(run, b.spec.saveS * 1000) : run);
 }
 
 /** What the users lose with a task besides its work: 2 when its job's deadline can still be kept, 0 when none can. */
@@ -48,8 +62,10 @@
   return 2 - lateness(job, Math.max(0, estimate - run), ctx);
 }
 
-const harm = (part: Part, b: Binding, ctx: PlanContext): number =>
-  lostWork(b, ctx.now) + promise(part, b, ctx) * PROMISE_WORTH * (b.spec?.cpus ?? 0);
+function harm(part: Part, b: Binding, ctx: PlanContext): number {
+  const size = b.spec ? sizeOf(b.spec, ctx.types.values()) : 0;
+  return lostWork(b, ctx) + promise(part, b, ctx) * PROMISE_WORTH * size;
+}
 
 /**
  * The same order as `rank` decides who is stopped for whom: otherwise a task that was stopped is placed first in
@@ -64,11 +80,15 @@
   return higher || (guaranteed && b.spec.team !== job.spec.team && borrowed(b.spec, s, ctx));
 }
 
-/** Does its team still have its guarantee without this task? */
+/** Would its team without this task still use all of a guarantee that the task counts for? None: it is all borrowed. */
 function borrowed(spec: JobSpec, s: Scratch, ctx: PlanContext): boolean {
-  const team = ctx.teams.get(spec.team);
+  const guarantee = ctx.teams.get(spec.team)?.guarantee;
+  if (!guarantee) return true;
+  const counted = RESOURCE_KINDS.filter((kind) => guarantee[kind] > 0 && spec[kind] > 0);
   const used = staying(s, spec.team, ctx);
-  return team === undefined || used - spec.cpus >= team.cpus - 1e-6;
+  return (
+    counted.length === 0 || counted.some((kind) => used[kind] - spec[kind] >= guarantee[kind] - TOLERANCE)
+  );
 }
 
 interface Victims {
@@ -80,7 +100,7 @@
 function victimsOn(
   part: Part,
   m: Machine,
-  room: Room,
+  room: Resources,
   job: PartJob,
   guaranteed: boolean,
   s: Scratch,
@@ -94,19 +114,19 @@
     take(most, b.spec as JobSpec, -1);
   }
   // What each costs is only worth finding out where it would be enough.
-  if (!fits(most, job.spec)) return null;
+  if (!fits(job.spec, most)) return null;
   const candidates = stoppable.map((b) => ({ b, cost: harm(part, b, ctx) }));
   candidates.sort((x, y) => x.cost - y.cost);
   const free = { ...room };
   const list: Binding[] = [];
   let cost = 0;
   for (const { b, cost: more } of candidates) {
-    if (fits(free, job.spec)) break;
+    if (fits(job.spec, free)) break;
     take(free, b.spec as JobSpec, -1);
     cost += more;
     list.push(b);
   }
-  return fits(free, job.spec) ? { machine: m, list, cost } : null;
+  return fits(job.spec, free) ? { machine: m, list, cost } : null;
 }
 
 const criticalPatience = (part: Part, job: PartJob, ctx: PlanContext): number =>
@@ -160,13 +180,10 @@
   return [spec.priority, team, spec.spot, spec.zone, pin, spec.types?.join()].join('/');
 }
 
-const asksForMore = (spec: JobSpec, than: Room): boolean =>
-  spec.cpus >= than.cpus && spec.gpus >= than.gpus && spec.memoryGb >= than.memoryGb;
-
 /** With hundreds of jobs waiting, each would look at every machine for itself and find nobody. */
 function isFruitless(part: Part, key: string, spec: JobSpec, now: SteadyMs): boolean {
   const failed = part.fruitless.get(key);
-  return failed !== undefined && now < failed.until && asksForMore(spec, failed.need);
+  return failed !== undefined && now < failed.until && covers(spec, failed.need);
 }
 
 function noteFruitless(part: Part, key: string, spec: JobSpec, now: SteadyMs): void {
@@ -177,12 +194,14 @@
 }
 
 /** What a machine will have once those stopped in this round are gone. */
-function soonRoom(m: Machine, s: Scratch, ctx: PlanContext): Room | null {
+function soonRoom(m: Machine, s: Scratch, ctx: PlanContext): MutableResources | null {
   const known = s.soon.get(m.id);
   if (known) return known;
   const room = scratchRoom(m, s, ctx);
-  if (room) s.soon.set(m.id, { ...room });
-  return room && (s.soon.get(m.id) as Room);
+  if (!room) return null;
+  const soon = { ...room };
+  s.soon.set(m.id, soon);
+  return soon;
 }
 
 /** The cheapest of the first machines on which enough may be stopped. */
@@ -198,9 +217,9 @@
   let best: Victims | null = null;
   let found = 0;
   for (const m of holdersOnly ? part.sums.holdersOf(job.spec.image) : part.machines.values()) {
-    if (m.lesserCpus <= 0 || !allowed(job.spec, m.type, m.zone, m.spot, pin)) continue;
+    if (isZero(m.lesser) || !allowed(job.spec, m.type, m.zone, m.spot, pin)) continue;
     const room = s.soon.get(m.id) ?? scratchRoom(m, s, ctx);
-    if (!room || room.cpus + m.lesserCpus < job.spec.cpus) continue;
+    if (!room || !fits(job.spec, add(room, m.lesser))) continue;
     if (isCrowded(m, room, job.spec, ctx.types.get(m.type), ctx.now)) continue;
     const victims = victimsOn(part, m, room, job, guaranteed, s, ctx);
     if (!victims) continue;
--- a/src/quota/desk.ts
+++ b/src/quota/desk.ts
@@ -1,10 +1,23 @@
 /** Moves unused shares of teams' limits to the parts where the teams' tasks wait. */
 import type { Core } from '../core.js';
 import type { Ask } from '../flock/news.js';
+import {
+  add,
+  addTo,
+  isZero,
+  mapResources,
+  RESOURCE_KINDS,
+  subtract,
+  times,
+  UNLIMITED,
+  ZERO,
+  type MutableResources,
+  type Resources,
+} from '../model/resources.js';
 import { usageOf, type Part } from '../parts/model.js';
 import { Rank } from '../state/budget.js';
 import type { PartId, Revision, SteadyMs, TeamId } from '../units.js';
-import { decodeShares, encodeShares, gift, moveShare, quotaKey, type Share, type Shares } from './shares.js';
+import { decodeShares, encodeShares, gift, moveShare, quotaKey, type Shares } from './shares.js';
 
 const ASK_GAP = 250;
 /** Of what a team uses on a part, or of an even share: what may find room there before some could be asked back. */
@@ -12,7 +25,7 @@
 
 export class QuotaDesk {
   /** What we gave in a write whose outcome is open: subtracted before it is sent. */
-  private readonly pending = new Map<string, Share>();
+  private readonly pending = new Map<string, Resources>();
   private readonly asked = new Map<string, SteadyMs>();
   private readonly decoded = new Map<TeamId, { shares: Shares; version: Revision }>();
 
@@ -32,73 +45,78 @@
   }
 
   /** What a part of ours may use: its share less what it is giving away. */
-  share(part: PartId, team: TeamId): Share {
-    const share = this.shares(team)?.shares[part] ?? { cpus: 0, gpus: 0 };
+  share(part: PartId, team: TeamId): Resources {
+    const share = this.shares(team)?.shares[part] ?? ZERO;
     const given = this.pending.get(`${part}/${team}`);
-    return given ? { cpus: share.cpus - given.cpus, gpus: share.gpus - given.gpus } : share;
+    return given ? subtract(share, given) : share;
   }
 
   /**
    * What the team's tasks that wait here could use soon. Where they wait for room, the share waits with them for
    * nothing, while a peer may have room and no share.
    */
-  private need(part: Part, team: TeamId): Share {
+  private need(part: Part, team: TeamId): Resources {
     const waits = this.waiting(part, team);
     if (!part.roomless.has(team)) return waits;
-    const used = part.sums.teams.get(team) ?? { cpus: 0, gpus: 0 };
-    const limit = this.core.settings.teams.get(team);
+    const used = part.sums.teams.get(team) ?? ZERO;
+    const limit = this.core.settings.teams.get(team)?.limit ?? ZERO;
     const even = 1 / this.core.settings.parts.length;
-    const soon = (uses: number, most: number): number => SOON * Math.max(uses, most * even);
-    return {
-      cpus: Math.min(waits.cpus, Math.ceil(soon(used.cpus, limit?.cpusMax ?? 0))),
-      gpus: Math.min(waits.gpus, Math.ceil(soon(used.gpus, limit?.gpusMax ?? 0))),
-    };
+    return mapResources((kind) => {
+      const soon = SOON * Math.max(used[kind], limit[kind] * even);
+      return Math.min(waits[kind], Math.ceil(soon));
+    });
   }
 
-  private waiting(part: Part, team: TeamId): Share {
-    let cpus = 0;
-    let gpus = 0;
+  private waiting(part: Part, team: TeamId): Resources {
+    const sum: MutableResources = { ...ZERO };
     for (const job of part.accounted ? part.queue : part.jobs.values()) {
       if (job.spec.team !== team) continue;
-      const n = job.waiting.size + job.frozen.size;
-      cpus += n * job.spec.cpus;
-      gpus += n * job.spec.gpus;
+      addTo(sum, job.spec, job.waiting.size + job.frozen.size);
     }
-    return { cpus, gpus };
+    return sum;
   }
 
-  private usable(part: Part, team: TeamId, asked: Share): Share {
+  private used(part: Part, team: TeamId): Resources {
     const usage = usageOf(part);
-    const used = usage.teams.get(team) ?? { cpus: 0, gpus: 0 };
-    const all = { cpus: used.cpus + usage.cpusAnybody, gpus: used.gpus + usage.gpusAnybody };
-    return gift(this.share(part.id, team), all, this.need(part, team), asked);
+    return add(usage.teams.get(team) ?? ZERO, usage.anybody);
   }
 
-  /** What could be lent of the team's limit: in CPUs, or in GPUs where only they are limited. */
-  private lendable(part: Part, team: TeamId): number {
-    const { cpus, gpus } = this.usable(part, team, { cpus: Infinity, gpus: Infinity });
-    return this.core.settings.teams.get(team)?.cpusMax === 0 ? gpus : cpus;
+  private usable(part: Part, team: TeamId, asked: Resources): Resources {
+    return gift(this.share(part.id, team), this.used(part, team), this.need(part, team), asked);
   }
 
   /** Unused shares by team, for the announcements. */
-  spare(part: Part): Map<TeamId, number> {
-    const out = new Map<TeamId, number>();
+  spare(part: Part): Map<TeamId, Resources> {
+    const out = new Map<TeamId, Resources>();
     for (const team of this.core.settings.teams.keys()) {
-      const amount = this.lendable(part, team);
-      if (amount > 0) out.set(team, Math.floor(amount));
+      const amount = this.usable(part, team, UNLIMITED);
+      const whole = mapResources((kind) => Math.floor(amount[kind]));
+      if (!isZero(whole)) out.set(team, whole);
     }
     return out;
   }
 
-  /** Tasks of the team wait for its limit here: asks the part that announced most to spare. */
-  request(part: Part, team: TeamId, amount: Share): void {
+  /** Of what the team's tasks wait for here, the limited resources of which our share has too little left. */
+  private short(part: Part, team: TeamId, amount: Resources): Resources {
+    const share = this.share(part.id, team);
+    const left = subtract(share, this.used(part, team));
+    const limited = mapResources((kind) => (share[kind] === Infinity ? 0 : amount[kind]));
+    const short = mapResources((kind) => (limited[kind] > left[kind] ? limited[kind] : 0));
+    // Places that are kept for some of them count as well, and are in no sum yet.
+    return isZero(short) ? limited : short;
+  }
+
+  /** Tasks of the team wait for its limit here: asks the part that announced most to spare of what is short. */
+  request(part: Part, team: TeamId, waiting: Resources): void {
     const now = this.core.clock.now();
     const key = `${part.id}/${team}`;
     if (now - (this.asked.get(key) ?? -1e12) < ASK_GAP) return;
+    const amount = this.short(part, team, waiting);
+    if (isZero(amount)) return;
     let best: { part: PartId; spare: number } | null = null;
     for (const { part: other } of this.core.settings.parts) {
       if (other === part.id) continue;
-      const spare = this.spareOf(other, team, now);
+      const spare = times(this.spareOf(other, team, now), amount);
       if (spare > 0 && (!best || spare > best.spare)) best = { part: other, spare };
     }
     if (!best) return;
@@ -111,11 +129,11 @@
     }
   }
 
-  private spareOf(part: PartId, team: TeamId, now: SteadyMs): number {
+  private spareOf(part: PartId, team: TeamId, now: SteadyMs): Resources {
     const own = this.core.parts.get(part);
-    if (own) return this.lendable(own, team);
+    if (own) return this.usable(own, team, UNLIMITED);
     const news = this.core.partNews.get(part);
-    return news && news.expires > now ? (news.spare.get(team) ?? 0) : 0;
+    return news && news.expires > now ? (news.spare.get(team) ?? ZERO) : ZERO;
   }
 
   /** Gives what is unused, in one write on condition that we still own the part. */
@@ -127,8 +145,8 @@
     const known = this.shares(ask.team);
     if (!part || !team || !known || this.pending.has(key) || ask.from === ask.to || !known.shares[ask.from])
       return;
-    const amount = this.usable(part, ask.team, { cpus: ask.cpus, gpus: ask.gpus });
-    if (amount.cpus <= 0 && amount.gpus <= 0) return;
+    const amount = this.usable(part, ask.team, ask);
+    if (RESOURCE_KINDS.every((kind) => amount[kind] <= 0)) return;
     this.pending.set(key, amount);
     const value = encodeShares(team, moveShare(known.shares, ask.to, ask.from, amount));
     const quota = quotaKey(ask.team);
@@ -148,8 +166,7 @@
         team: ask.team,
         from: ask.to,
         to: ask.from,
-        cpus: amount.cpus,
-        gpus: amount.gpus,
+        amount,
         result: result.kind,
       },
       'share moved',
--- a/src/quota/guarantee.ts
+++ b/src/quota/guarantee.ts
@@ -1,28 +1,24 @@
 /** Which jobs are within their team's guarantee: those that fit into it with the team's earlier unfinished jobs. */
 import type { JobRecord } from '../jobs/record.js';
+import { addTo, fits, mapResources, ZERO, type MutableResources } from '../model/resources.js';
 import type { Team } from '../settings/settings.js';
 import type { JobId, TeamId } from '../units.js';
 
-/** A guarantee of 0 is none: that resource is not counted, and what asks for such resources alone is not guaranteed. */
-function asksForGuaranteed({ spec }: JobRecord, team: Team): boolean {
-  if (team.cpus === 0 && team.gpus === 0) return false;
-  const asksForNone = spec.cpus === 0 && spec.gpus === 0;
-  return asksForNone || (team.cpus > 0 && spec.cpus > 0) || (team.gpus > 0 && spec.gpus > 0);
+/** What asks only for resources without a guarantee is not guaranteed; what asks for nothing always is. */
+function asksForGuaranteed({ spec }: JobRecord, { guarantee }: Team): boolean {
+  const limitable = ['cpus', 'gpus'] as const;
+  if (limitable.every((kind) => spec[kind] === 0)) return limitable.some((kind) => guarantee[kind] > 0);
+  return limitable.some((kind) => guarantee[kind] > 0 && spec[kind] > 0);
 }
 
-/** Every controller sees the same records, and so comes to the same answer. */
+/** A resource with a guarantee of 0 has none, and is not counted. Every controller comes to the same answer. */
 export function guaranteedOf(records: readonly JobRecord[], team: Team): Set<JobId> {
   const out = new Set<JobId>();
-  let cpus = 0;
-  let gpus = 0;
-  const isWithin = (total: number, guarantee: number): boolean =>
-    guarantee === 0 || total <= guarantee + 1e-6;
+  const counted = mapResources((kind) => team.guarantee[kind] || Infinity);
+  const sum: MutableResources = { ...ZERO };
   for (const r of [...records].sort((a, b) => a.born - b.born || (a.spec.id < b.spec.id ? -1 : 1))) {
-    const open = r.spec.tasks - r.done.size;
-    cpus += open * r.spec.cpus;
-    gpus += open * r.spec.gpus;
-    const fits = isWithin(cpus, team.cpus) && isWithin(gpus, team.gpus);
-    if (fits && asksForGuaranteed(r, team)) out.add(r.spec.id);
+    addTo(sum, r.spec, r.spec.tasks - r.done.size);
+    if (fits(sum, counted) && asksForGuaranteed(r, team)) out.add(r.spec.id);
   }
   return out;
 }
--- a/src/quota/shares.ts
+++ b/src/quota/shares.ts
@@ -1,15 +1,11 @@
 /** Each team's limit, split among the parts: a part starts tasks only within its share. */
 import * as v from 'valibot';
+import { add, mapResources, subtract, UNLIMITED, type Resources } from '../model/resources.js';
 import type { Team } from '../settings/settings.js';
 import type { PartId, StateKey, TeamId } from '../units.js';
 
-export interface Share {
-  readonly cpus: number;
-  readonly gpus: number;
-}
-
-/** Shares by part; they never add up to more than the team's limit. */
-export type Shares = readonly Share[];
+/** Shares by part; they never add up to more than the team's limit. Of what is unlimited every part has no end. */
+export type Shares = readonly Resources[];
 
 export const QUOTA = 'c/quota/';
 export const quotaKey = (team: TeamId): StateKey => `${QUOTA}${encodeURIComponent(team)}` as StateKey;
@@ -20,27 +16,34 @@
   gpus: v.array(v.number()),
 });
 
-/** A limit of 0 is none: every part may use as much as it has, and there is nothing to lend. */
-const isUnlimited = (limit: number): boolean => limit === 0;
+/** `total` in whole units as far as they go. */
+function splitEvenly(total: number, parts: number): number[] {
+  const each = Math.floor(total / parts);
+  const rest = total - each * parts;
+  return Array.from({ length: parts }, (_, i) => each + Math.max(0, Math.min(1, rest - i)));
+}
 
-/** Before anybody has moved anything, all parts have the same, in whole CPUs as far as they go. */
-export function evenShares(team: Team, parts: number): Shares {
-  const split = (total: number): number[] => {
-    if (isUnlimited(total)) return Array.from({ length: parts }, () => Infinity);
-    const each = Math.floor(total / parts);
-    const rest = total - each * parts;
-    return Array.from({ length: parts }, (_, i) => each + Math.max(0, Math.min(1, rest - i)));
-  };
-  const cpus = split(team.cpusMax);
-  const gpus = split(team.gpusMax);
-  return cpus.map((c, i) => ({ cpus: c, gpus: gpus[i] ?? 0 }));
+/** Shares by kind of resource; the limit alone says what is unlimited. */
+function assembled(team: Team, parts: number, of: (kind: 'cpus' | 'gpus') => readonly number[]): Shares {
+  const limited = (kind: 'cpus' | 'gpus', part: number): number =>
+    team.limit[kind] === Infinity ? Infinity : (of(kind)[part] ?? 0);
+  return Array.from({ length: parts }, (_, part) => ({
+    ...UNLIMITED,
+    cpus: limited('cpus', part),
+    gpus: limited('gpus', part),
+  }));
 }
 
-/** JSON has no infinity: an unlimited resource is written as shares of 0, and read by the limit alone. */
+/** Before anybody has moved anything, all parts have the same. */
+export const evenShares = (team: Team, parts: number): Shares =>
+  assembled(team, parts, (kind) => splitEvenly(team.limit[kind], parts));
+
+/** JSON has no infinity: what is unlimited is written as 0, as in the settings. Memory has no limit yet. */
+const written = (amount: number): number => (amount === Infinity ? 0 : amount);
+
 export function encodeShares(team: Team, shares: Shares): unknown {
-  const written = (share: number): number => (Number.isFinite(share) ? share : 0);
   return {
-    max: [team.cpusMax, team.gpusMax],
+    max: [written(team.limit.cpus), written(team.limit.gpus)],
     cpus: shares.map((s) => written(s.cpus)),
     gpus: shares.map((s) => written(s.gpus)),
   };
@@ -51,19 +54,15 @@
   const result = v.safeParse(record, value);
   if (!result.success) return evenShares(team, parts);
   const { max, cpus, gpus } = result.output;
-  if (max[0] !== team.cpusMax || max[1] !== team.gpusMax || cpus.length !== parts || gpus.length !== parts) {
-    return evenShares(team, parts);
-  }
-  return cpus.map((c, i) => ({
-    cpus: isUnlimited(team.cpusMax) ? Infinity : c,
-    gpus: isUnlimited(team.gpusMax) ? Infinity : (gpus[i] ?? 0),
-  }));
+  const sameLimit = max[0] === written(team.limit.cpus) && max[1] === written(team.limit.gpus);
+  if (!sameLimit || cpus.length !== parts || gpus.length !== parts) return evenShares(team, parts);
+  return assembled(team, parts, (kind) => (kind === 'cpus' ? cpus : gpus));
 }
 
-export function moveShare(shares: Shares, from: PartId, to: PartId, amount: Share): Shares {
-  return shares.map((s, i) => {
-    const sign = i === from ? -1 : i === to ? 1 : 0;
-    return { cpus: s.cpus + sign * amount.cpus, gpus: s.gpus + sign * amount.gpus };
+export function moveShare(shares: Shares, from: PartId, to: PartId, amount: Resources): Shares {
+  return shares.map((share, i) => {
+    if (i === from) return subtract(share, amount);
+    return i === to ? add(share, amount) : share;
   });
 }
 
@@ -71,11 +70,10 @@
  * What a part gives of its share when a peer asks: never what it uses or its own tasks wait for, and nothing of an
  * unlimited resource, of which the peer has no less.
  */
-export function gift(share: Share, used: Share, ownNeed: Share, asked: Share): Share {
-  const free = (has: number, uses: number, needs: number, wants: number): number =>
-    has === Infinity ? 0 : Math.max(0, Math.min(wants, has - uses - needs));
-  return {
-    cpus: free(share.cpus, used.cpus, ownNeed.cpus, asked.cpus),
-    gpus: free(share.gpus, used.gpus, ownNeed.gpus, asked.gpus),
-  };
+export function gift(share: Resources, used: Resources, ownNeed: Resources, asked: Resources): Resources {
+  return mapResources((kind) =>
+    share[kind] === Infinity
+      ? 0
+      : Math.max(0, Math.min(asked[kind], share[kind] - used[kind] - ownNeed[kind])),
+  );
 }
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -3,6 +3,7 @@
 import { parse as parseToml } from 'smol-toml';
 import { parse as parseProperties } from 'dot-properties';
 import * as v from 'valibot';
+import { RESOURCE_KINDS, UNLIMITED, ZERO, type Resources } from '../model/resources.js';
 import type { Address, Millis, NodeId, PartId, Seconds, TeamId, ZoneId } from '../units.js';
 
 /** A setting that ends the start: one line naming file, field and what was expected. */
@@ -71,13 +72,12 @@
   readonly part: PartId;
 }
 
-/** A guarantee or limit of 0 is none. */
 export interface Team {
   readonly name: TeamId;
-  readonly cpus: number;
-  readonly cpusMax: number;
-  readonly gpus: number;
-  readonly gpusMax: number;
+  /** What the team need not wait for others for; a resource of 0 has no guarantee and is not counted. */
+  readonly guarantee: Resources;
+  /** What its tasks may use at most; infinite where the settings give no limit. */
+  readonly limit: Resources;
 }
 
 export interface Settings {
@@ -108,6 +108,8 @@
   readonly latest: ReadonlyMap<string, number>;
 }
 
+type RawTeam = v.InferOutput<typeof schema>['facts']['teams'][number];
+
 /** Places the controllers in name order: every one derives the same parts from its own file. */
 function partsOf(raw: v.InferOutput<typeof schema>): Settings['parts'] {
   const all = [{ label: raw.label, domain: raw.domain }, ...raw.known];
@@ -140,6 +142,22 @@
   return typeof at?.message === 'string' ? at.message : issue.message;
 }
 
+/** A guarantee or limit of 0 is none. */
+function teamOf(raw: RawTeam, file: string): Team {
+  const guarantee = { ...ZERO, cpus: raw.cpus, gpus: raw.gpus };
+  const limit = { ...UNLIMITED, cpus: raw.cpus_max || Infinity, gpus: raw.gpus_max || Infinity };
+  const wrong = (expected: string): never => {
+    throw new SettingsError(`${file}: facts.teams: expected team "${raw.name}" to have ${expected}`);
+  };
+  if (RESOURCE_KINDS.every((kind) => limit[kind] === Infinity))
+    wrong('a limit: cpus_max or gpus_max above 0');
+  for (const kind of ['cpus', 'gpus'] as const) {
+    if (guarantee[kind] > limit[kind])
+      wrong(`${kind} of at most ${kind}_max (${limit[kind]}), got ${guarantee[kind]}`);
+  }
+  return { name: raw.name as TeamId, guarantee, limit };
+}
+
 function teamsOf(raw: v.InferOutput<typeof schema>, file: string): Map<TeamId, Team> {
   const teams = new Map<TeamId, Team>();
   raw.facts.teams.forEach((t, i) => {
@@ -148,7 +166,7 @@
       throw new SettingsError(
         `${file}: facts.teams[${i}].name: expected a name used once, got "${t.name}" again`,
       );
-    teams.set(id, { name: id, cpus: t.cpus, cpusMax: t.cpus_max, gpus: t.gpus, gpusMax: t.gpus_max });
+    teams.set(id, teamOf(t, file));
   });
   return teams;
 }
--- a/test/decisions.test.ts
+++ b/test/decisions.test.ts
@@ -9,6 +9,7 @@
 import { decodeTime, SharedTime } from '../src/jobs/age.js';
 import type { JobRecord } from '../src/jobs/record.js';
 import type { JobSpec } from '../src/jobs/spec.js';
+import { ZERO, type Resources } from '../src/model/resources.js';
 import { Part, syncJob, type PartJob } from '../src/parts/model.js';
 import { decideClaim, type ClaimFacts } from '../src/parts/ownership.js';
 import { QuotaDesk } from '../src/quota/desk.js';
@@ -17,9 +18,9 @@
 import { RangeSet } from '../src/ranges.js';
 import { Budget, Rank } from '../src/state/budget.js';
 import { View } from '../src/state/view.js';
-import { millis, type PartId, type SharedMs, type SteadyMs, type TeamId } from '../src/units.js';
+import { millis, type PartId, type SharedMs, type SteadyMs } from '../src/units.js';
 import { SimClock, settle } from './standins/clock.js';
-import { plainSpec } from './standins/spec.js';
+import { plainSpec, plainTeam } from './standins/spec.js';
 
 const spec = (o: Partial<JobSpec> = {}): JobSpec => plainSpec({ tasks: 4, ...o });
 
@@ -96,30 +97,28 @@
 });
 
 test('shares never add up to more than the limit, and a giver keeps what it uses and needs', () => {
-  const team = { name: 'red' as TeamId, cpus: 10, cpusMax: 112, gpus: 0, gpusMax: 0 };
+  const team = plainTeam({ cpus: 10, cpusMax: 112 });
+  const cpus = (amount: number): Resources => ({ ...ZERO, cpus: amount });
   const even = evenShares(team, 3);
   assert.deepEqual(
     even.map((s) => s.cpus),
     [38, 37, 37],
   );
-  const moved = moveShare(even, 0 as never, 2 as never, { cpus: 8, gpus: 0 });
+  const moved = moveShare(even, 0 as never, 2 as never, cpus(8));
   assert.equal(
     moved.reduce((n, s) => n + s.cpus, 0),
     112,
   );
   assert.deepEqual(decodeShares(encodeShares(team, moved), team, 3), moved);
   assert.deepEqual(
-    decodeShares(encodeShares(team, moved), { ...team, cpusMax: 100 }, 3),
-    evenShares({ ...team, cpusMax: 100 }, 3),
-  );
-  assert.deepEqual(
-    gift({ cpus: 38, gpus: 0 }, { cpus: 20, gpus: 0 }, { cpus: 10, gpus: 0 }, { cpus: 50, gpus: 0 }),
-    { cpus: 8, gpus: 0 },
+    decodeShares(encodeShares(team, moved), plainTeam({ cpus: 10, cpusMax: 100 }), 3),
+    evenShares(plainTeam({ cpus: 10, cpusMax: 100 }), 3),
   );
+  assert.deepEqual(gift(cpus(38), cpus(20), cpus(10), cpus(50)), cpus(8));
 });
 
 test('guaranteed: what fits with the earlier unfinished jobs of the team', () => {
-  const team = { name: 'red' as TeamId, cpus: 12, cpusMax: 24, gpus: 0, gpusMax: 0 };
+  const team = plainTeam({ cpus: 12, cpusMax: 24 });
   const job = (id: string, born: number, tasks: number, done = 0): JobRecord =>
     ({
       spec: spec({ id, tasks } as Partial<JobSpec>),
@@ -238,7 +237,7 @@
 });
 
 test('a share of a limit does not wait where its tasks wait for room', () => {
-  const red = { name: 'red' as TeamId, cpus: 12, cpusMax: 24, gpus: 0, gpusMax: 0 };
+  const red = plainTeam({ cpus: 12, cpusMax: 24 });
   const settings = { teams: new Map([[red.name, red]]), parts: [{ part: 0 }, { part: 1 }, { part: 2 }] };
   const desk = new QuotaDesk({ settings, view: new View(() => undefined) } as unknown as Core);
   const part = new Part(0 as PartId, 1 as never, 1 as never, 0 as SteadyMs, new Map());
@@ -246,7 +245,7 @@
   const assignments = [{ from: 0, to: 10, part: part.id, zone: null }];
   const record = { spec: plainSpec({ tasks: 10 }), assignments, done: RangeSet.empty() } as never;
   syncJob(part, record, 1 as never, 0 as SteadyMs, false);
-  const spare = (): number => desk.spare(part).get(red.name) ?? 0;
+  const spare = (): number => desk.spare(part).get(red.name)?.cpus ?? 0;
   assert.equal(spare(), 0, 'its own tasks may start at once');
   part.roomless = new Set([red.name]);
   assert.equal(spare(), 7, 'of 8; a little stays for what comes free');
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -4,19 +4,17 @@
 import type { MachineType } from '../src/cloud/wire.js';
 import type { JobRecord } from '../src/jobs/record.js';
 import type { JobSpec } from '../src/jobs/spec.js';
+import { UNLIMITED, ZERO } from '../src/model/resources.js';
 import { bind, newMachine, Part, syncJob, unbind, type Binding } from '../src/parts/model.js';
 import { planRound } from '../src/placement/plan.js';
 import type { PlanContext } from '../src/placement/round.js';
 import { Guarantees } from '../src/quota/guarantee.js';
 import { RangeSet } from '../src/ranges.js';
 import type { TeamId } from '../src/units.js';
-import { plainSpec } from './standins/spec.js';
+import { plainSpec, plainTeam } from './standins/spec.js';
 
 const TEAMS = new Map(
-  ['red', 'blue'].map((name) => [
-    name as TeamId,
-    { name: name as TeamId, cpus: 4, cpusMax: 100, gpus: 0, gpusMax: 0 },
-  ]),
+  ['red', 'blue'].map((name) => [name as TeamId, plainTeam({ name, cpus: 4, cpusMax: 100 })]),
 );
 const TYPES = new Map([
   ['t', { name: 't', cpus: 8, gpus: 0, memoryGb: 64, fetchGbPerS: 0.1 } as unknown as MachineType],
@@ -81,8 +79,8 @@
       now: this.now,
       types: TYPES,
       teams: TEAMS,
-      share: () => ({ cpus: 100, gpus: 0 }),
-      usedElsewhere: () => 0,
+      share: () => ({ ...UNLIMITED, cpus: 100 }),
+      usedElsewhere: () => ZERO,
       guaranteed: (j: string) => this.guarantees.has(j as never),
       latest: () => 1,
       peerHasRoom: () => false,
--- a/test/reports.test.ts
+++ b/test/reports.test.ts
@@ -175,13 +175,13 @@
 test('after a claim a task is frozen until every machine has reported under the new token', () => {
   const w = new Bench(true);
   assert.equal(w.state(), 'bound - waiting -');
-  assert.equal(usageOf(w.part).cpusAnybody, 16, 'a machine not heard from may be full of any team');
+  assert.equal(usageOf(w.part).anybody.cpus, 16, 'a machine not heard from may be full of any team');
   assert.equal(w.hear('report', '', { token: 6 }), 'taken; bound - waiting -');
   assert.equal(accountFor(w.part), false, 'the owner before us may still command it');
   assert.equal(w.hear('direct', '1:4:running'), 'taken; bound 1@4 waiting -');
   assert.equal(accountFor(w.part), true);
   assert.equal(w.state(), 'bound 1@4 waiting 0');
-  assert.equal(usageOf(w.part).cpusAnybody, 0);
+  assert.equal(usageOf(w.part).anybody.cpus, 0);
 });
 
 test('after a claim a task waits only for machines on which its job allows it', () => {
--- a/test/resources.test.ts
+++ b/test/resources.test.ts
@@ -4,12 +4,11 @@
 import { impossible } from '../src/jobs/desk.js';
 import type { JobRecord } from '../src/jobs/record.js';
 import type { JobSpec } from '../src/jobs/spec.js';
+import { UNLIMITED, ZERO } from '../src/model/resources.js';
 import { guaranteedOf } from '../src/quota/guarantee.js';
 import { decodeShares, encodeShares, evenShares, gift } from '../src/quota/shares.js';
 import { RangeSet } from '../src/ranges.js';
-import type { Team } from '../src/settings/settings.js';
-import type { TeamId } from '../src/units.js';
-import { plainSpec } from './standins/spec.js';
+import { plainSpec, plainTeam } from './standins/spec.js';
 import { checkTrace } from './standins/trace.js';
 import { SMALL, World, type Shape } from './standins/world.js';
 
@@ -23,8 +22,8 @@
   ],
 };
 
-const gpuTeam: Team = { name: 'red' as TeamId, cpus: 0, cpusMax: 0, gpus: 8, gpusMax: 20 };
-const cpuTeam: Team = { name: 'red' as TeamId, cpus: 8, cpusMax: 20, gpus: 0, gpusMax: 0 };
+const gpuTeam = plainTeam({ gpus: 8, gpusMax: 20 });
+const cpuTeam = plainTeam({ cpus: 8, cpusMax: 20 });
 
 async function threeGpuMachines(shape: Shape): Promise<World> {
   const w = new World(shape);
@@ -68,17 +67,17 @@
 
   const even = evenShares(gpuTeam, 3);
   assert.deepEqual(even, [
-    { cpus: Infinity, gpus: 7 },
-    { cpus: Infinity, gpus: 7 },
-    { cpus: Infinity, gpus: 6 },
+    { ...UNLIMITED, gpus: 7 },
+    { ...UNLIMITED, gpus: 7 },
+    { ...UNLIMITED, gpus: 6 },
   ]);
   const written = JSON.parse(JSON.stringify(encodeShares(gpuTeam, even))) as unknown;
   assert.deepEqual(written, { max: [0, 20], cpus: [0, 0, 0], gpus: [7, 7, 6] });
   assert.deepEqual(decodeShares(written, gpuTeam, 3), even);
-  const share = { cpus: Infinity, gpus: 7 };
-  const asked = { cpus: 100, gpus: 100 };
-  const used = { cpus: Infinity, gpus: 2 };
-  assert.deepEqual(gift(share, used, { cpus: 4, gpus: 1 }, asked), { cpus: 0, gpus: 4 });
+  const share = { ...UNLIMITED, gpus: 7 };
+  const asked = { cpus: 100, gpus: 100, memoryGb: 100 };
+  const used = { ...UNLIMITED, gpus: 2 };
+  assert.deepEqual(gift(share, used, { cpus: 4, gpus: 1, memoryGb: 8 }, asked), { ...ZERO, gpus: 4 });
 });
 
 test('a guarantee of 0 is none: the resource is not counted, and nothing is guaranteed by it', () => {
@@ -93,8 +92,8 @@
   assert.deepEqual([...guaranteedOf(jobs, gpuTeam)], ['req-a', 'req-b'], 'by GPUs alone');
   const plain = [job('req-a', 1, { tasks: 3 }), job('req-b', 2, { tasks: 2 })];
   assert.deepEqual([...guaranteedOf(plain, cpuTeam)], ['req-a'], 'by CPUs alone, as before');
-  assert.deepEqual([...guaranteedOf(plain, { ...cpuTeam, cpus: 0 })], [], 'no guarantee at all');
-  const both = { ...cpuTeam, gpus: 4, gpusMax: 10 };
+  assert.deepEqual([...guaranteedOf(plain, plainTeam({ cpusMax: 20 }))], [], 'no guarantee at all');
+  const both = plainTeam({ cpus: 8, cpusMax: 20, gpus: 4, gpusMax: 10 });
   assert.deepEqual(
     [...guaranteedOf([job('req-a', 1, { tasks: 3, gpus: 2 })], both)],
     [],
--- a/test/standins/spec.ts
+++ b/test/standins/spec.ts
@@ -1,5 +1,19 @@
 /** A plain array job of the team red; each test says what differs. */
 import type { JobSpec } from '../../src/jobs/spec.js';
+import { UNLIMITED, ZERO } from '../../src/model/resources.js';
+import type { Team } from '../../src/settings/settings.js';
+import type { TeamId } from '../../src/units.js';
+
+/** The team red as its settings say it: a guarantee or limit that is left out is none. */
+export function plainTeam(
+  o: { name?: string; cpus?: number; cpusMax?: number; gpus?: number; gpusMax?: number } = {},
+): Team {
+  return {
+    name: (o.name ?? 'red') as TeamId,
+    guarantee: { ...ZERO, cpus: o.cpus ?? 0, gpus: o.gpus ?? 0 },
+    limit: { ...UNLIMITED, cpus: o.cpusMax ?? Infinity, gpus: o.gpusMax ?? Infinity },
+  };
+}
 
 export const plainSpec = (o: Partial<Record<keyof JobSpec, unknown>> = {}): JobSpec =>
   ({
--- a/test/sums.test.ts
+++ b/test/sums.test.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { seededRandom } from '../src/flock/willing.js';
+import { fits, type Resources } from '../src/model/resources.js';
 import { attach, bind, newMachine, Part, roomOn, unbind, usageOf, type Binding } from '../src/parts/model.js';
 import { plainSpec } from './standins/spec.js';
 
@@ -16,40 +17,57 @@
   null,
 ];
 
-const round = (n: number): number => Math.round(n * 1e6) / 1e6;
+const KINDS = ['cpus', 'gpus', 'memoryGb'] as const;
+/** Each with another dominant resource. */
+const NEEDS: Resources[] = [
+  { cpus: 2, gpus: 0, memoryGb: 1 },
+  { cpus: 1, gpus: 1, memoryGb: 1 },
+  { cpus: 1, gpus: 0, memoryGb: 12 },
+];
+
+/** Never -0, which a sum of fractions may leave. */
+const round = (n: number): number => Math.round(n * 1e6) / 1e6 + 0;
 
 function recount(part: Part): unknown {
-  const teams: Record<string, [number, number]> = {};
-  let unclear = 0;
-  const free: Record<string, number> = {};
+  const teams: Record<string, number[]> = {};
+  const unclear = [0, 0, 0];
+  const free: Record<string, number[]> = {};
+  const lesser: Record<string, number[]> = {};
   const holders: string[] = [];
   for (const m of part.machines.values()) {
-    const type = TYPES.get(m.type) as { cpus: number };
+    const type = TYPES.get(m.type) as Resources;
     const list = [...m.bindings.values()];
-    if (!m.settled || list.some((b) => !b.spec)) unclear += type.cpus;
-    for (const b of list) {
-      if (!b.spec) continue;
-      const t = (teams[b.spec.team] ??= [0, 0]);
-      t[0] = round(t[0] + b.spec.cpus);
-      t[1] = round(t[1] + b.spec.gpus);
-    }
-    const used = list.reduce((sum, b) => sum + (b.spec?.cpus ?? 0), 0);
-    free[m.id] = list.some((b) => !b.spec) ? 0 : round(type.cpus - used);
+    KINDS.forEach((kind, i) => {
+      const sumOf = (bindings: Binding[]): number =>
+        bindings.reduce((sum, b) => sum + (b.spec?.[kind] ?? 0), 0);
+      if (!m.settled || list.some((b) => !b.spec)) unclear[i] = (unclear[i] ?? 0) + type[kind];
+      for (const b of list) {
+        if (!b.spec) continue;
+        const team = (teams[b.spec.team] ??= [0, 0, 0]);
+        team[i] = round((team[i] ?? 0) + b.spec[kind]);
+      }
+      (free[m.id] ??= []).push(list.some((b) => !b.spec) ? 0 : round(type[kind] - sumOf(list)));
+      (lesser[m.id] ??= []).push(round(sumOf(list.filter((b) => b.spec?.priority !== 0))));
+    });
     for (const image of m.images.keys()) holders.push(`${image}@${m.id}`);
   }
-  return { teams, unclear, free, holders: holders.sort(), bound: part.bound.size };
+  return { teams, unclear, free, lesser, holders: holders.sort(), bound: part.bound.size };
 }
 
 function kept(part: Part): unknown {
-  const teams: Record<string, [number, number]> = {};
-  for (const [team, u] of usageOf(part).teams)
-    if (u.cpus !== 0 || u.gpus !== 0) teams[team] = [round(u.cpus), round(u.gpus)];
-  const free: Record<string, number> = {};
-  for (const m of part.machines.values()) free[m.id] = round(roomOn(m, TYPES.get(m.type) as never).cpus);
+  const amounts = (of: Resources): number[] => KINDS.map((kind) => round(of[kind]));
+  const teams: Record<string, number[]> = {};
+  for (const [team, u] of usageOf(part).teams) if (amounts(u).some((n) => n !== 0)) teams[team] = amounts(u);
+  const free: Record<string, number[]> = {};
+  const lesser: Record<string, number[]> = {};
+  for (const m of part.machines.values()) {
+    free[m.id] = amounts(roomOn(m, TYPES.get(m.type) as never));
+    lesser[m.id] = amounts(m.lesser);
+  }
   const holders = [...part.sums.images()].flatMap(([i, ms]) => [...ms].map((m) => `${i}@${m.id}`)).sort();
   let bound = 0;
   for (const set of part.boundOf.values()) bound += set.size;
-  return { teams, unclear: usageOf(part).cpusAnybody, free, holders, bound };
+  return { teams, unclear: amounts(usageOf(part).anybody), free, lesser, holders, bound };
 }
 
 test('sums kept with every change are what a full recount finds', () => {
@@ -99,6 +117,14 @@
       if (b) unbind(part, m, b);
     }
     if (step % 7 === 0) assert.deepEqual(kept(part), recount(part), `after ${step} steps`);
-    for (const w of part.sums.withFree(2)) assert.ok(roomOn(w, TYPES.get(w.type) as never).cpus > 2 - 1e-6);
+    for (const need of NEEDS) {
+      const found = new Set(part.sums.withFree(need, TYPES as never));
+      for (const w of part.machines.values())
+        if (fits(need, roomOn(w, TYPES.get(w.type) as never)))
+          assert.ok(found.has(w), 'no machine is left out');
+      const kind = need.gpus > 0 ? 'gpus' : need.memoryGb > 8 ? 'memoryGb' : 'cpus';
+      for (const w of found)
+        assert.ok(roomOn(w, TYPES.get(w.type) as never)[kind] > need[kind] - 1e-6, `few others, by ${kind}`);
+    }
   }
 });
