A refused job names the field and its bound; GPUs are whole

Cause: a refusal said neither which field nor which bound, a type outside the catalog and a task too large for every type got the same text, and half a GPU was accepted.

Change: src/jobs/limits.ts finds the limit or the machine types that forbid a job; the codec gives the names of the fields. GPUs that are negative, fractional, above 1e9 or no number get 400; above the team's limit, above the largest allowed type, in an unknown type or zone get 422. A job that names an unknown type beside a known one that fits is still accepted. Settings: tests of the team checks, also through check.

--- a/src/jobs/desk.ts
+++ b/src/jobs/desk.ts
@@ -2,12 +2,12 @@
 import type { MachineType } from '../cloud/wire.js';
 import type { Core } from '../core.js';
 import type { Answer } from '../http/server.js';
-import { allowed } from '../placement/round.js';
 import { Rank } from '../state/budget.js';
 import type { Condition } from '../state/wire.js';
 import type { JobId, Millis, StateKey, SteadyMs } from '../units.js';
 import { millis, NO_REVISION } from '../units.js';
 import { RangeSet } from '../ranges.js';
+import { aboveLimit, fitsNoType } from './limits.js';
 import {
   decodeFinal,
   decodeRecord,
@@ -51,16 +51,7 @@
 ): string | null {
   const team = core.settings.teams.get(spec.team);
   if (!team) return `unknown team ${spec.team}`;
-  const count = spec.shape === 'array' ? 1 : spec.tasks;
-  if (spec.cpus * count > team.limit.cpus + 1e-9)
-    return `needs more CPUs than the limit of team ${spec.team}`;
-  if (spec.gpus * count > team.limit.gpus + 1e-9)
-    return `needs more GPUs than the limit of team ${spec.team}`;
-  for (const t of types) {
-    if (t.cpus < spec.cpus || t.gpus < spec.gpus || t.memoryGb < spec.memoryGb) continue;
-    if (t.zones.some((z) => allowed(spec, t.name, z, false, null))) return null;
-  }
-  return 'no allowed machine type has room for a task';
+  return aboveLimit(spec, team) ?? fitsNoType(spec, [...types]);
 }
 
 /** Everybody who asks about one job, until a transaction goes out that answers them all. */
--- a/src/jobs/wire.ts
+++ b/src/jobs/wire.ts
@@ -6,7 +6,14 @@
 const MAX_TASKS = 100_000;
 const ID = /^req-[0-9A-Za-z_-]{1,64}$/;
 
-const amount = v.pipe(v.number(), v.finite(), v.minValue(0), v.maxValue(1e9));
+const MAX_AMOUNT = 1e9;
+
+const AMOUNT = `expected a number from 0 to ${MAX_AMOUNT}`;
+const WHOLE_AMOUNT = `expected a whole number from 0 to ${MAX_AMOUNT}`;
+const amountSchema = (expected: string) =>
+  v.pipe(v.number(expected), v.finite(expected), v.minValue(0, expected), v.maxValue(MAX_AMOUNT, expected));
+const amount = amountSchema(AMOUNT);
+const wholeAmount = v.pipe(amountSchema(WHOLE_AMOUNT), v.integer(WHOLE_AMOUNT));
 const name = v.pipe(v.string(), v.minLength(1), v.maxLength(200));
 const maybe = <S extends v.GenericSchema>(schema: S) => v.optional(v.nullable(schema), null);
 
@@ -18,7 +25,7 @@
   rank: v.picklist(['critical', 'urgent', 'standard', 'best_effort']),
   legs: v.pipe(v.number(), v.integer(), v.minValue(1), v.maxValue(MAX_TASKS)),
   vcpus: amount,
-  cards: amount,
+  cards: wholeAmount,
   memoryGb: amount,
   cargo: name,
   sizeGb: amount,
@@ -33,6 +40,15 @@
   tideS: maybe(amount),
 });
 
+/** What users call the fields of a job that a refusal is about. */
+export const FIELDS = {
+  cpus: 'vcpus',
+  gpus: 'cards',
+  memoryGb: 'memoryGb',
+  types: 'hulls',
+  zone: 'harbor',
+} as const satisfies Partial<Record<keyof JobSpec, keyof typeof submission.entries>>;
+
 const PRIORITIES: Record<string, Priority> = {
   critical: Priority.critical,
   urgent: Priority.urgent,
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -150,7 +150,7 @@
     throw new SettingsError(`${file}: facts.teams: expected team "${raw.name}" to have ${expected}`);
   };
   if (RESOURCE_KINDS.every((kind) => limit[kind] === Infinity))
-    wrong('a limit: cpus_max or gpus_max above 0');
+    wrong('a limit: cpus_max or gpus_max above 0, got none');
   for (const kind of ['cpus', 'gpus'] as const) {
     if (guarantee[kind] > limit[kind])
       wrong(`${kind} of at most ${kind}_max (${limit[kind]}), got ${guarantee[kind]}`);
--- a/test/resources.test.ts
+++ b/test/resources.test.ts
@@ -54,7 +54,7 @@
   await w.start();
   const answer = await w.submit(0, 'req-1', { gpus: 1 });
   assert.equal(answer.status, 422);
-  assert.match(String(answer.body['error']), /machine type/);
+  assert.equal(answer.body['error'], 'cards: a task needs 1, no allowed machine type has more than 0');
 });
 
 test('a limit of 0 is none: it refuses nothing, and its shares are unlimited and cannot be given', () => {
@@ -63,7 +63,10 @@
   const why = (o: Partial<JobSpec>): string | null => impossible(plainSpec(o), types, core);
   assert.equal(why({ cpus: 64, gpus: 1 }), null);
   assert.equal(why({ shape: 'service', tasks: 20, cpus: 60, gpus: 1 }), null);
-  assert.match(why({ shape: 'service', tasks: 21, gpus: 1 }) ?? '', /GPUs/);
+  assert.equal(
+    why({ shape: 'service', tasks: 21, gpus: 1 }),
+    'cards: needs 21 at once, more than the limit of 20 of team red',
+  );
 
   const even = evenShares(gpuTeam, 3);
   assert.deepEqual(even, [
@@ -100,3 +103,53 @@
     'fits in CPUs alone',
   );
 });
+
+test('a refused job: the text names the field and its bound', async () => {
+  const w = await threeGpuMachines(GPU_TEAMS);
+  const said: string[] = [];
+  const ask = async (changes: Record<string, unknown>): Promise<void> => {
+    const body = { ...w.submission(`req-${said.length}`, { gpus: 1 }), ...changes };
+    const answer = await w.ask(0, 'POST', '/v2/runs', body);
+    said.push(`${answer.status} ${String(answer.body['error'])}`);
+  };
+  await ask({ cards: -1 });
+  await ask({ cards: 0.5 });
+  await ask({ cards: 2e9 });
+  await ask({ vcpus: -0.1 });
+  await ask({ memoryGb: '1' });
+  await ask({ cards: 9 });
+  await ask({ vcpus: 64.5 });
+  await ask({ memoryGb: 513 });
+  await ask({ cards: 1e9 });
+  await ask({ shape: 'standing', legs: 13 });
+  await ask({ hulls: ['tpu', 'fpga'] });
+  await ask({ harbor: 'north' });
+  await ask({ crew: 'nobody' });
+  assert.deepEqual(said, [
+    '400 cards: expected a whole number from 0 to 1000000000',
+    '400 cards: expected a whole number from 0 to 1000000000',
+    '400 cards: expected a whole number from 0 to 1000000000',
+    '400 vcpus: expected a number from 0 to 1000000000',
+    '400 memoryGb: expected a number from 0 to 1000000000',
+    '422 cards: a task needs 9, no allowed machine type has more than 8',
+    '422 vcpus: a task needs 64.5, no allowed machine type has more than 64',
+    '422 memoryGb: a task needs 513, no allowed machine type has more than 512',
+    '422 cards: needs 1000000000 at once, more than the limit of 12 of team red',
+    '422 cards: needs 13 at once, more than the limit of 12 of team red',
+    '422 hulls: tpu, fpga not in the catalog, which has gpu',
+    '422 harbor: north has no allowed machine type',
+    '422 unknown team nobody',
+  ]);
+});
+
+test('no type has room for all of a task, though each amount fits some type', () => {
+  const core = { settings: { teams: new Map([[gpuTeam.name, gpuTeam]]) } } as never;
+  const types = [
+    { name: 'gpu', cpus: 8, gpus: 8, memoryGb: 64, zones: ['east'] },
+    { name: 'cpu', cpus: 64, gpus: 0, memoryGb: 64, zones: ['east'] },
+  ] as never;
+  assert.equal(
+    impossible(plainSpec({ cpus: 16, gpus: 1 }), types, core),
+    'vcpus 16, cards 1, memoryGb 1: no allowed machine type has room for all of a task',
+  );
+});
--- a/test/settings.test.ts
+++ b/test/settings.test.ts
@@ -50,6 +50,41 @@
   );
 });
 
+test('a team without any limit, or with a guarantee above its limit, is named', () => {
+  const teams = /\[\[facts\.teams\]\][^]*?(?=\[facts\.workers\])/;
+  const withTeam = (amounts: string): string =>
+    said(() => {
+      const team = `[[facts.teams]]\nname = "red"\n${amounts.replaceAll(', ', '\n')}\n`;
+      parseSettings(settingsText(0).replace(teams, team), 'a.toml');
+    });
+  const noLimit =
+    'a.toml: facts.teams: expected team "red" to have a limit: cpus_max or gpus_max above 0, got none';
+  assert.deepEqual(
+    {
+      cpusOnly: withTeam('cpus = 64.0, cpus_max = 112.0, gpus = 0.0, gpus_max = 0.0'),
+      gpusOnly: withTeam('cpus = 0.0, cpus_max = 0.0, gpus = 1500.0, gpus_max = 5000.0'),
+      leftOut: withTeam('gpus = 1500.0, gpus_max = 5000.0'),
+      both: withTeam('cpus = 64.0, cpus_max = 64.0, gpus = 8.0, gpus_max = 16.0'),
+      guaranteeWithoutLimit: withTeam('cpus = 64.0, cpus_max = 0.0, gpus = 0.0, gpus_max = 16.0'),
+      neither: withTeam('cpus = 0.0, cpus_max = 0.0, gpus = 0.0, gpus_max = 0.0'),
+      neitherGiven: withTeam('cpus = 4.0'),
+      cpusAbove: withTeam('cpus = 64.5, cpus_max = 64.0'),
+      gpusAbove: withTeam('cpus = 4.0, cpus_max = 64.0, gpus = 9.0, gpus_max = 8.0'),
+    },
+    {
+      cpusOnly: 'valid',
+      gpusOnly: 'valid',
+      leftOut: 'valid',
+      both: 'valid',
+      guaranteeWithoutLimit: 'valid',
+      neither: noLimit,
+      neitherGiven: noLimit,
+      cpusAbove: 'a.toml: facts.teams: expected team "red" to have cpus of at most cpus_max (64), got 64.5',
+      gpusAbove: 'a.toml: facts.teams: expected team "red" to have gpus of at most gpus_max (8), got 9',
+    },
+  );
+});
+
 test("operators' properties: unknown names and bad values are errors, comments and defaults are fine", () => {
   assert.equal(parseTuning('# quiet\nfleet.idle.return.ms = 45000\n', 'p').idleReturn, 45000);
   assert.equal(parseTuning('', 'p').announceExpiry, 10000);
@@ -93,6 +128,13 @@
   assert.equal(failed.code, 2);
   assert.equal(failed.err, `cleatport: ${bad}: label: expected a text, got nothing\n`);
   assert.equal(run('serve', '--config', join(dir, 'none.toml')).code, 2);
+  writeFileSync(bad, settingsText(1).replace('cpus = 12.0', 'cpus = 25.0'));
+  const above = 'expected team "red" to have cpus of at most cpus_max (24), got 25';
+  assert.deepEqual(run('check', '--config', bad), {
+    code: 2,
+    out: '',
+    err: `cleatport: ${bad}: facts.teams: ${above}\n`,
+  });
   assert.equal(run('serve').code, 2);
   assert.equal(run('dance').code, 2);
 });
