Tests: each decision that looked at CPUs alone, by its dominant resource

test/dominant.test.ts holds a test of each decision on machines with 8 GPUs; kept traces gpu-shares-move and limits-of-each-kind (teams limited in CPUs, in GPUs and in both).

The worker stand-in counted all tasks as being as large as the one that starts, and so refused tasks beside smaller ones; it now sums what its tasks take.

--- /dev/null
+++ b/test/dominant.test.ts
@@ -0,0 +1,370 @@
+/** Each decision goes by the dominant resource: on machines with 8 GPUs and 64 CPUs, CPUs alone mislead. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { MachineType } from '../src/cloud/wire.js';
+import type { Core } from '../src/core.js';
+import { planRentals, type RentContext } from '../src/fleet/plan.js';
+import { assignJob, type AssignContext } from '../src/flock/assign.js';
+import { composeNews, readyImages, receive, type Ask } from '../src/flock/news.js';
+import { seededRandom } from '../src/flock/willing.js';
+import type { JobSpec } from '../src/jobs/spec.js';
+import { ZERO, type Resources } from '../src/model/resources.js';
+import { figuresOf } from '../src/parts/figures.js';
+import { bind, newMachine, Part, syncJob, type Binding } from '../src/parts/model.js';
+import { chooseMove } from '../src/placement/gather.js';
+import { QuotaDesk } from '../src/quota/desk.js';
+import { quotaKey } from '../src/quota/shares.js';
+import { RangeSet } from '../src/ranges.js';
+import { View } from '../src/state/view.js';
+import type { PartId, SteadyMs, TeamId, TypeId } from '../src/units.js';
+import { Rounds, type RoundsOptions } from './standins/rounds.js';
+import { plainSpec, plainTeam } from './standins/spec.js';
+import { checkTrace } from './standins/trace.js';
+import { SMALL, World, type Shape } from './standins/world.js';
+
+const GPU_MACHINE: Resources = { cpus: 64, gpus: 8, memoryGb: 512 };
+const GPU_TYPE = { ...GPU_MACHINE, name: 'gpu', zones: ['east'], price: 17, spotPrice: 8, bootS: 40 };
+const TYPES = new Map([['gpu' as TypeId, GPU_TYPE as unknown as MachineType]]);
+const NOW = 1_000_000 as SteadyMs;
+const SERVICE = { shape: 'service', priority: 0, cpus: 5, gpus: 1, memoryGb: 38 };
+
+/** Teams that may use everything, with no guarantee. */
+const onGpuMachines = (o: RoundsOptions = {}): RoundsOptions => ({
+  capacity: GPU_MACHINE,
+  team: { gpusMax: 100 },
+  share: { cpus: Infinity, gpus: 100, memoryGb: Infinity },
+  ...o,
+});
+
+const count = (text: string, what: string): number => text.split(what).length - 1;
+
+test('rank: among jobs in time the one that needs less of its dominant resource goes first', () => {
+  const w = new Rounds(1, onGpuMachines());
+  const common = { deadlineS: 600, estimateS: 60, priority: 2 };
+  w.job('req-gpus', { ...common, tasks: 3, cpus: 1, gpus: 4 });
+  w.job('req-cpus', { ...common, tasks: 4, cpus: 4, gpus: 1 });
+  assert.match(w.round(), /^start req-cpus\/0.*start req-cpus\/3/);
+});
+
+test('room: as many tasks start as GPUs are free, though CPUs and memory are left', () => {
+  const w = new Rounds(2, onGpuMachines());
+  w.job('req-a', { tasks: 20, cpus: 1, gpus: 1 });
+  assert.equal(count(w.round(), 'start'), 16);
+});
+
+test('limit: a job that fits into its share in CPUs and not in GPUs waits, and one without GPUs starts', () => {
+  const share = { cpus: 100, gpus: 3, memoryGb: Infinity };
+  const w = new Rounds(1, onGpuMachines({ team: { cpusMax: 100, gpusMax: 3 }, share }));
+  w.job('req-gpus', { tasks: 8, cpus: 2, gpus: 1 });
+  w.job('req-cpus', { tasks: 4, cpus: 2, gpus: 0 });
+  const said = w.round();
+  assert.deepEqual([count(said, 'start req-gpus'), count(said, 'start req-cpus')], [3, 4]);
+});
+
+test('victims: of two tasks the one with less work lost by its dominant resource is stopped', () => {
+  const w = new Rounds(1, onGpuMachines());
+  w.job('req-gpus', { tasks: 1, cpus: 1, gpus: 4, priority: 3 });
+  w.job('req-cpus', { tasks: 1, cpus: 8, gpus: 4, priority: 3 });
+  assert.equal(count(w.round(), 'start'), 2);
+  w.job('req-web', { ...SERVICE, gpus: 4 });
+  // Both lose 4 GPUs for as long: their CPUs make no difference, and the first that was started is taken.
+  assert.equal(w.round(), 'stop req-cpus/0');
+  const v = new Rounds(1, onGpuMachines());
+  v.job('req-gpus', { tasks: 1, cpus: 1, gpus: 6, priority: 3 });
+  v.job('req-cpus', { tasks: 1, cpus: 8, gpus: 2, priority: 3 });
+  assert.equal(count(v.round(), 'start'), 2);
+  v.job('req-web', { ...SERVICE, gpus: 1 });
+  assert.equal(v.round(), 'stop req-cpus/0', '8 CPUs and 2 GPUs for a time are less than 1 CPU and 6 GPUs');
+});
+
+test('victims: work that takes GPUs and no CPUs makes way too', () => {
+  const w = new Rounds(1, onGpuMachines());
+  w.job('req-gpus', { tasks: 8, cpus: 0, gpus: 1, priority: 3 });
+  assert.equal(count(w.round(), 'start'), 8);
+  w.job('req-web', SERVICE);
+  assert.equal(w.round(), 'stop req-gpus/0');
+});
+
+test('guarantee: a team gets GPUs back from work above the guarantee of another, and no more', () => {
+  const w = new Rounds(1, onGpuMachines({ team: { gpus: 5, gpusMax: 100 } }));
+  w.job('req-big', { tasks: 8, cpus: 1, gpus: 1, team: 'red' });
+  assert.equal(count(w.round(), 'start'), 8);
+  w.job('req-mine', { tasks: 5, cpus: 1, gpus: 1, team: 'blue' });
+  const rounds = Array.from({ length: 6 }, () => w.round()).join('; ');
+  assert.equal(count(rounds, 'stop req-big'), 3, rounds);
+  assert.equal(count(rounds, 'start req-mine'), 3);
+});
+
+test('guarantee: what a team uses on other parts counts in GPUs as well', () => {
+  const w = new Rounds(1, onGpuMachines({ team: { gpus: 5, gpusMax: 100 } }));
+  w.elsewhere = { ...ZERO, gpus: 2 };
+  w.job('req-big', { tasks: 8, cpus: 1, gpus: 1, team: 'red' });
+  w.round();
+  w.job('req-mine', { tasks: 5, cpus: 1, gpus: 1, team: 'blue' });
+  const rounds = Array.from({ length: 6 }, () => w.round()).join('; ');
+  assert.equal(count(rounds, 'stop req-big'), 5, rounds);
+});
+
+test('a team at its GPU limit stops as much of its lesser work as frees the GPUs, and none without GPUs', () => {
+  const share = { cpus: Infinity, gpus: 6, memoryGb: Infinity };
+  const w = new Rounds(2, onGpuMachines({ share }));
+  w.job('req-cpus', { tasks: 4, cpus: 1, gpus: 0, priority: 3 });
+  w.job('req-gpus', { tasks: 6, cpus: 20, gpus: 1, priority: 2 });
+  assert.equal(count(w.round(), 'start'), 10);
+  w.job('req-web', { ...SERVICE, tasks: 3 });
+  const said = w.round();
+  assert.deepEqual([count(said, 'stop req-gpus'), count(said, 'stop req-cpus')], [3, 0], said);
+});
+
+test('crowding: a machine that has just come gets replicas up to half of its GPUs', () => {
+  const w = new Rounds(1, onGpuMachines({ since: 1_001_000 }));
+  w.job('req-web', { ...SERVICE, cpus: 1, memoryGb: 1, tasks: 8 });
+  assert.equal(count(w.round(), 'start'), 4);
+});
+
+test('packing: batch work fills the machine with the fewest GPUs left, though it has more CPUs left', () => {
+  const w = new Rounds(2, onGpuMachines());
+  for (const m of ['m-0', 'm-1']) w.holds(m, 'i');
+  w.place('req-few-cpus', 'm-0', { cpus: 1, gpus: 6, image: 'i' });
+  w.place('req-many-cpus', 'm-1', { cpus: 40, gpus: 2, image: 'i' });
+  w.job('req-a', { tasks: 1, cpus: 1, gpus: 1 });
+  assert.equal(w.round(), 'start req-a/0 on m-0');
+});
+
+test('spreading: what finds its image nowhere goes where most GPUs are free', () => {
+  const w = new Rounds(2, onGpuMachines());
+  w.place('req-few-cpus', 'm-0', { cpus: 1, gpus: 6 });
+  w.place('req-many-cpus', 'm-1', { cpus: 40, gpus: 2 });
+  w.job('req-a', { tasks: 1, cpus: 1, gpus: 1, image: 'other' });
+  assert.equal(w.round(), 'start req-a/0 on m-1');
+});
+
+/** A part with machines by name, and on each so many replicas of one GPU, or replicas as given. */
+function partWith(load: Record<string, number | Partial<JobSpec>[]>, o: Partial<JobSpec> = {}): Part {
+  const part = new Part(0 as PartId, 1 as never, 1 as never, 0 as SteadyMs, TYPES);
+  part.accounted = true;
+  const spec = plainSpec({ id: 'req-s', ...SERVICE, tasks: 50, image: 'img', ...o });
+  const assignments = [{ from: 0, to: 50, part: part.id, zone: null }];
+  const record = { spec, home: part.id, born: 0, assignments, done: RangeSet.empty() };
+  syncJob(part, record as never, 1 as never, 0 as SteadyMs, false);
+  let index = 0;
+  for (const [name, replicas] of Object.entries(load)) {
+    const m = newMachine(name as never, 'a:1' as never, 'gpu' as never, 'east' as never, false, NOW, true);
+    m.lastHeard = NOW;
+    part.add(m);
+    part.sawImage(m, 'img' as never, 1);
+    const list: Partial<JobSpec>[] =
+      typeof replicas === 'number' ? Array.from({ length: replicas }, () => ({})) : replicas;
+    for (const changes of list) {
+      const since = NOW - 90_000;
+      bind(part, m, {
+        id: `req-s/${index}`,
+        job: spec.id,
+        index,
+        machine: m.id,
+        spec: { ...spec, ...changes },
+        phase: 'running',
+        boundAt: since,
+        runningSince: since,
+        stop: null,
+      } as unknown as Binding);
+      index += 1;
+    }
+  }
+  return part;
+}
+
+test('moving together: only while half of the GPUs are free, and to where GPUs are free', () => {
+  const move = (load: Parameters<typeof partWith>[0]): string => {
+    const found = chooseMove(partWith(load, { cpus: 1, memoryGb: 1 }), {
+      now: NOW,
+      types: TYPES,
+      reportMs: 1500,
+    });
+    return found ? `${found.binding.machine} -> ${found.to.id}` : 'stays';
+  };
+  assert.deepEqual(
+    {
+      'half is free': move({ a: 1, b: 5, c: 4, d: 3, idle: 0, idler: 0 }),
+      'less than half of the GPUs is free': move({ a: 1, b: 7, c: 4, d: 4, e: 5 }),
+      'the fullest has no GPU left': move({ a: 1, b: 8, c: 4, d: 3, i1: 0, i2: 0 }),
+      'one GPU and 30 CPUs are less than 4 GPUs': move({ a: [{ cpus: 30 }], b: 4, i1: 0, i2: 0, i3: 0 }),
+      'there is room for one of two': move({ a: 2, b: 7, i1: 0, i2: 0, i3: 0 }),
+      'there is room for one on each of two': move({ a: 2, b: 7, c: 7, i1: 0, i2: 0, i3: 0 }),
+    },
+    {
+      'half is free': 'a -> b',
+      'less than half of the GPUs is free': 'stays',
+      'the fullest has no GPU left': 'a -> c',
+      'one GPU and 30 CPUs are less than 4 GPUs': 'a -> b',
+      'there is room for one of two': 'stays',
+      'there is room for one on each of two': 'a -> b',
+    },
+  );
+});
+
+const NEWS = { settings: { node: 'n1', parts: [{ part: 0 }, { part: 1 }] }, types: TYPES, reportMs: 1500 };
+
+test('announcements: what is used, spare and ready is told in GPUs and memory as well', () => {
+  const part = partWith({ a: 3, b: 0 });
+  const core = {
+    ...NEWS,
+    clock: { now: () => NOW },
+    tuning: { announceExpiry: 1000 },
+    parts: new Map([[part.id, part]]),
+    offers: new Map(),
+    ready: new Map(),
+    rentedHere: new Map(),
+    state: { use: { requests: 1, writes: 1 } },
+    stateHealthy: () => true,
+    incarnation: 'n1-1',
+  } as unknown as Core;
+  core.ready.set(part.id, readyImages(core, part));
+  const spare = new Map([['red' as TeamId, { cpus: 0, gpus: 7, memoryGb: 0 }]]);
+  const news = composeNews(core, () => spare, new Map());
+  const peer = { ...core, parts: new Map(), peers: new Map(), partNews: new Map(), ready: new Map() };
+  Object.assign(peer, { rentedFor: new Map(), imageHints: new Map(), offers: new Map() });
+  receive(peer as unknown as Core, JSON.parse(JSON.stringify(news)));
+  const told = (peer as unknown as Core).partNews.get(part.id);
+  assert.deepEqual(told?.used.get('red' as TeamId), { cpus: 15, gpus: 3, memoryGb: 114 });
+  assert.deepEqual(told.spare.get('red' as TeamId), { cpus: 0, gpus: 7, memoryGb: 0 });
+  assert.deepEqual((peer as unknown as Core).ready.get(part.id)?.get('img' as never), {
+    cpus: 113,
+    gpus: 13,
+    memoryGb: 910,
+  });
+  // An earlier version tells CPUs alone.
+  const old = news.parts.map((p) => ({ ...p, besides: undefined }));
+  receive(peer as unknown as Core, JSON.parse(JSON.stringify({ ...news, parts: old })));
+  assert.deepEqual(told.used.get('red' as TeamId)?.gpus, 3, 'what was told before is kept apart');
+  const again = (peer as unknown as Core).partNews.get(part.id);
+  assert.deepEqual(again?.used.get('red' as TeamId), { cpus: 15, gpus: 0, memoryGb: 0 });
+});
+
+test('a new service goes to the part that has GPUs where its image is, not to the one with CPUs', () => {
+  const ready = (amount: Resources) => new Map([['img', amount]]);
+  const ctx = {
+    now: NOW,
+    home: 0,
+    homeZone: 'east',
+    parts: [0, 1, 2].map((part) => ({ part, zone: 'east' })),
+    zones: ['east'],
+    offers: new Map(),
+    ready: new Map([
+      [0, ready({ cpus: 200, gpus: 1, memoryGb: 900 })],
+      [1, ready({ cpus: 60, gpus: 8, memoryGb: 500 })],
+      [2, ready({ cpus: 100, gpus: 5, memoryGb: 900 })],
+    ]),
+    random: seededRandom(1),
+  } as unknown as AssignContext;
+  const parts = (tasks: number): string =>
+    assignJob(plainSpec({ ...SERVICE, tasks, image: 'img' }), ctx)
+      .map((a) => `${a.from}-${a.to} at ${a.part}`)
+      .join(', ');
+  assert.equal(parts(4), '0-4 at 1');
+  assert.equal(parts(14), '0-1 at 0, 1-9 at 1, 9-14 at 2');
+});
+
+/** A desk of three parts, the first of them ours and its tasks waiting; what it asks of whom. */
+function asks(team: Parameters<typeof plainTeam>[0], spare: Resources[], waiting: Resources): string {
+  const red = plainTeam(team);
+  const sent: Ask[] = [];
+  const part = new Part(0 as PartId, 1 as never, 1 as never, 0 as SteadyMs, TYPES);
+  part.accounted = true;
+  const core = {
+    settings: { teams: new Map([[red.name, red]]), parts: [{ part: 0 }, { part: 1 }, { part: 2 }] },
+    view: new View(() => undefined),
+    clock: { now: () => NOW },
+    parts: new Map([[part.id, part]]),
+    partNews: new Map(
+      spare.map((amount, i) => [i + 1, { expires: NOW + 1, spare: new Map([[red.name, amount]]) }]),
+    ),
+    partRecord: (p: number) => ({ owner: `n${p}` }),
+    mesh: { send: (_: string, ask: Ask) => sent.push(ask) },
+  } as unknown as Core;
+  core.view.learn(quotaKey(red.name), undefined, 1 as never);
+  new QuotaDesk(core).request(part, red.name, waiting);
+  return sent.map((a) => `${a.cpus} CPUs, ${a.gpus} GPUs of ${a.to}`).join('; ');
+}
+
+test('lending: asks the part with most to spare of what is short, in CPUs, in GPUs or in both', () => {
+  const gpus = (n: number): Resources => ({ ...ZERO, gpus: n });
+  const cpus = (n: number): Resources => ({ ...ZERO, cpus: n });
+  const waiting = { cpus: 200, gpus: 40, memoryGb: 900 };
+  assert.equal(asks({ gpusMax: 30 }, [gpus(2), gpus(9)], waiting), '0 CPUs, 40 GPUs of 2');
+  assert.equal(asks({ cpusMax: 30 }, [cpus(9), cpus(2)], waiting), '200 CPUs, 0 GPUs of 1');
+  const both = { cpusMax: 3000, gpusMax: 30 };
+  assert.equal(asks(both, [{ ...cpus(900), gpus: 1 }, gpus(8)], waiting), '0 CPUs, 40 GPUs of 2');
+  const bothShort = { cpusMax: 30, gpusMax: 30 };
+  const spare = [
+    { ...cpus(9), gpus: 1 },
+    { ...cpus(8), gpus: 8 },
+  ];
+  assert.equal(asks(bothShort, spare, waiting), '200 CPUs, 40 GPUs of 2');
+  assert.equal(asks({ gpusMax: 30 }, [ZERO, cpus(500)], waiting), '', 'nobody has any GPU to spare');
+});
+
+test('lending: a share of GPUs that nobody uses moves to the part where tasks wait', async () => {
+  const shape: Shape = {
+    ...SMALL,
+    machineTypes: [{ name: 'gpu', ...GPU_MACHINE }],
+    teams: [{ name: 'red', cpus: 0, cpusMax: 0, gpus: 4, gpusMax: 12 }],
+  };
+  const w = new World(shape);
+  for (let i = 0; i < 2; i += 1) w.addWorker('gpu', 'west');
+  await w.start();
+  // All machines are in the west, and so is the part that may place them: its share is 4 of 12 GPUs.
+  await w.submit(1, 'req-1', { tasks: 12, cpus: 2, gpus: 1, runMs: 8000, zone: 'west' });
+  await w.step(12_000);
+  await w.ask(1, 'GET', '/v2/runs/req-1');
+  checkTrace(w, 'gpu-shares-move');
+});
+
+test('rentals: machines for GPUs by their GPUs, and CPU work on machines that cost less for it', () => {
+  const cpuType = { ...GPU_TYPE, name: 'cpu', gpus: 0, price: 6 };
+  const ctx = {
+    types: [GPU_TYPE, cpuType],
+    zones: [],
+    home: 'east',
+    pending: [{ type: 'gpu', zone: 'east', spot: false }],
+    runningTasks: 0,
+    correction: () => 1,
+    blocked: () => false,
+  } as unknown as RentContext;
+  const plan = (o: Partial<Record<keyof JobSpec, unknown>>, tasks: number): string =>
+    planRentals([{ spec: plainSpec(o), pin: null, count: tasks, waitedMs: 2000 }], ctx)
+      .map((w) => `${w.count} ${w.type}`)
+      .join(', ');
+  assert.equal(plan({ cpus: 5, gpus: 1 }, 8), '', 'the machine on its way has 8');
+  assert.equal(plan({ cpus: 1, gpus: 1 }, 17), '2 gpu');
+  assert.equal(plan({ cpus: 8, gpus: 0 }, 16), '1 cpu');
+  assert.equal(plan({ cpus: 1, gpus: 0, memoryGb: 256 }, 4), '1 cpu', 'by memory');
+});
+
+test('figures: what is used, free and waiting is told of every resource', () => {
+  const part = partWith({ a: 3, b: 0 });
+  const share = (): Resources => ({ cpus: Infinity, gpus: 5, memoryGb: Infinity });
+  const figures = figuresOf(part, NOW, 1500, share);
+  assert.deepEqual(figures.capacity, { cpus: 128, gpus: 16, memoryGb: 1024 });
+  assert.deepEqual(figures.free, { cpus: 113, gpus: 13, memoryGb: 910 });
+  assert.deepEqual(figures.bound.running, { cpus: 15, gpus: 3, memoryGb: 114 });
+  assert.deepEqual(figures.teams['red'], {
+    used: { cpus: 15, gpus: 3, memoryGb: 114 },
+    share: { cpus: Infinity, gpus: 5, memoryGb: Infinity },
+    waiting: { cpus: 235, gpus: 47, memoryGb: 1786 },
+  });
+});
+
+test('a stored catalog is replaced when only the GPUs or the memory of a type have changed', async () => {
+  const w = new World({ ...SMALL, machineTypes: [{ name: 'gpu', ...GPU_MACHINE }] });
+  w.addWorker('gpu', 'east');
+  await w.start();
+  const stored = (): Resources[] =>
+    (w.state.rows.get('c/catalog')?.data as { types: Resources[] } | undefined)?.types ?? [];
+  assert.equal(stored()[0]?.gpus, 8);
+  const [type] = stored();
+  Object.assign(type as object, { gpus: 4 });
+  for (const n of w.nodes.keys()) w.killNode(n);
+  await w.start();
+  assert.equal(stored()[0]?.gpus, 8);
+});
--- a/test/resources.test.ts
+++ b/test/resources.test.ts
@@ -48,6 +48,35 @@
   checkTrace(w, 'gpu-only-teams');
 });
 
+test('teams with limits in CPUs, in GPUs and in both share machines, each within its own', async () => {
+  const shape: Shape = {
+    ...SMALL,
+    machineTypes: GPU_MACHINES,
+    teams: [
+      { name: 'red', cpus: 8, cpusMax: 24, gpus: 2, gpusMax: 4 },
+      { name: 'blue', cpus: 8, cpusMax: 20 },
+      { name: 'green', cpus: 0, cpusMax: 0, gpus: 2, gpusMax: 3 },
+    ],
+  };
+  const w = new World(shape);
+  for (let i = 0; i < 3; i += 1) w.addWorker('gpu', 'east');
+  await w.start();
+  await w.submit(0, 'req-gpus', { tasks: 8, cpus: 1, gpus: 1, runMs: 15_000 });
+  await w.submit(0, 'req-cpus', { tasks: 8, cpus: 4, runMs: 15_000 });
+  await w.submit(0, 'req-blue', { team: 'blue', tasks: 8, cpus: 4, runMs: 15_000 });
+  await w.submit(0, 'req-green', { team: 'green', tasks: 6, cpus: 12, gpus: 1, runMs: 15_000 });
+  await w.step(11_000);
+  // Of red's 24 CPUs its GPU tasks take 4; blue has 20 CPUs; green has 3 GPUs and any number of CPUs.
+  const jobs = ['req-gpus', 'req-cpus', 'req-blue', 'req-green'];
+  assert.deepEqual(
+    jobs.map((job) => started(w, job)),
+    [4, 5, 5, 3],
+  );
+  await w.step(35_000);
+  for (const job of jobs) await w.ask(0, 'GET', `/v2/runs/${job}`);
+  checkTrace(w, 'limits-of-each-kind');
+});
+
 test('where no team has a GPU limit and no machine a GPU, a job that asks for one is refused by type', async () => {
   const w = new World();
   w.addWorker('large', 'east');
--- /dev/null
+++ b/test/standins/rounds.ts
@@ -0,0 +1,158 @@
+/** Placement rounds of one part, with what they decided as text. */
+import type { MachineType } from '../../src/cloud/wire.js';
+import type { JobRecord } from '../../src/jobs/record.js';
+import type { JobSpec } from '../../src/jobs/spec.js';
+import { UNLIMITED, ZERO, type Resources } from '../../src/model/resources.js';
+import {
+  bind,
+  newMachine,
+  Part,
+  syncJob,
+  unbind,
+  type Binding,
+  type Machine,
+} from '../../src/parts/model.js';
+import { planRound } from '../../src/placement/plan.js';
+import type { PlanContext } from '../../src/placement/round.js';
+import { Guarantees } from '../../src/quota/guarantee.js';
+import { RangeSet } from '../../src/ranges.js';
+import type { Team } from '../../src/settings/settings.js';
+import type { TeamId, TypeId } from '../../src/units.js';
+import { plainSpec, plainTeam } from './spec.js';
+
+export interface RoundsOptions {
+  /** Of every machine. */
+  readonly capacity?: Resources;
+  /** Of the teams red and blue. */
+  readonly team?: Parameters<typeof plainTeam>[0];
+  /** The part's share of either team's limit. */
+  readonly share?: Resources;
+  /** When the machines came; the first round is at 1,002,000 ms. */
+  readonly since?: number;
+}
+
+export class Rounds {
+  readonly part: Part;
+  /** What either team uses on other parts. */
+  elsewhere: Resources = ZERO;
+  private now = 1_000_000;
+  private readonly live = new Map<string, JobRecord>();
+  private readonly types: ReadonlyMap<TypeId, MachineType>;
+  private readonly teams: ReadonlyMap<TeamId, Team>;
+  private readonly share: Resources;
+  private readonly guarantees: Guarantees;
+
+  constructor(machines = 1, options: RoundsOptions = {}) {
+    const { capacity = { cpus: 8, gpus: 0, memoryGb: 64 }, team = { cpus: 4, cpusMax: 100 } } = options;
+    this.types = new Map([
+      ['t' as TypeId, { name: 't', ...capacity, fetchGbPerS: 0.1 } as unknown as MachineType],
+    ]);
+    this.teams = new Map(['red', 'blue'].map((name) => [name as TeamId, plainTeam({ ...team, name })]));
+    this.share = options.share ?? { ...UNLIMITED, cpus: 100 };
+    this.guarantees = new Guarantees(this.teams);
+    this.part = new Part(0 as never, 7 as never, 1 as never, 0 as never, this.types);
+    this.part.accounted = true;
+    for (let i = 0; i < machines; i += 1) {
+      const m = newMachine(
+        `m-${i}` as never,
+        '10.0.0.1:1' as never,
+        't' as never,
+        'east' as never,
+        false,
+        (options.since ?? 0) as never,
+        true,
+      );
+      this.part.add(m);
+    }
+  }
+
+  job(id: string, o: Partial<Record<keyof JobSpec, unknown>>): void {
+    const spec = plainSpec({ id, ...o });
+    const record = {
+      spec,
+      home: 0,
+      born: this.live.size,
+      done: RangeSet.empty(),
+      assignments: [{ from: 0, to: spec.tasks, part: 0, zone: null }],
+    } as unknown as JobRecord;
+    this.live.set(id, record);
+    this.guarantees.learn(id as never, record);
+    syncJob(this.part, record, (this.live.size + 1) as never, this.now as never, false);
+  }
+
+  /** A running task of red's on that machine. */
+  place(id: string, machine: string, o: Partial<Record<keyof JobSpec, unknown>>): void {
+    this.job(id, o);
+    const m = this.part.machines.get(machine as never);
+    const spec = this.live.get(id)?.spec;
+    if (!m || !spec) throw new Error(`no machine ${machine}`);
+    bind(this.part, m, this.running(spec, 0, m));
+  }
+
+  private running(spec: JobSpec, index: number, machine: Machine): Binding {
+    return {
+      id: `${spec.id}/${index}`,
+      job: spec.id,
+      index,
+      attempt: this.part.nextAttempt(),
+      machine: machine.id,
+      spec,
+      phase: 'running',
+      boundAt: this.now,
+      runningSince: this.now,
+      stop: null,
+      inFlight: false,
+      due: false,
+      doubt: null,
+      answered: null,
+    } as unknown as Binding;
+  }
+
+  holds(machine: string, image: string): void {
+    const m = this.part.machines.get(machine as never);
+    if (m) this.part.sawImage(m, image as never, 1);
+  }
+
+  /** Tasks that have run this long are done. */
+  finish(afterMs: number): void {
+    for (const b of [...this.part.bound.values()]) {
+      const machine = this.part.machines.get(b.machine);
+      if (this.now - b.boundAt < afterMs || !machine) continue;
+      this.part.jobs.get(b.job)?.finished.add(b.index);
+      unbind(this.part, machine, b);
+    }
+  }
+
+  /** One round, all of it carried out at once, two seconds later than the one before. */
+  round(): string {
+    this.now += 2000;
+    for (const m of this.part.machines.values()) m.lastHeard = this.now as never;
+    const ctx = {
+      now: this.now,
+      types: this.types,
+      teams: this.teams,
+      share: () => this.share,
+      usedElsewhere: () => this.elsewhere,
+      guaranteed: (j: string) => this.guarantees.has(j as never),
+      latest: () => 1,
+      peerHasRoom: () => false,
+      correction: () => 1,
+      reportMs: 1500,
+    } as unknown as PlanContext;
+    const plan = planRound(this.part, ctx);
+    const said: string[] = [];
+    for (const s of plan.starts) {
+      said.push(`start ${s.job.id}/${s.index} on ${s.machine.id}`);
+      bind(this.part, s.machine, this.running(s.job.spec, s.index, s.machine));
+    }
+    for (const { binding } of plan.stops) {
+      said.push(`stop ${binding.id}`);
+      const machine = this.part.machines.get(binding.machine);
+      if (machine) unbind(this.part, machine, binding);
+    }
+    for (const h of plan.holds)
+      h.job.holds.set(h.index, { machine: h.machine, until: (this.now + 6000) as never });
+    for (const u of plan.unplaced) u.job.waitingSince ??= this.now as never;
+    return said.join('; ') || 'nothing';
+  }
+}
--- a/test/standins/worker.ts
+++ b/test/standins/worker.ts
@@ -170,9 +170,10 @@
     const task: Task = { leg: o.leg, sailing: o.sailing, status: 'pulling', ends: null };
     this.tasks.set(o.leg, task);
     if (!facts) return this.exit(task, 'unknown');
-    const used = [...this.tasks.values()].filter((t) => t.status !== 'exited' && t !== task).length;
-    const fits = (need: number, has: number): boolean => (used + 1) * need <= has + 1e-9;
-    if (!fits(facts.cpus, this.cpus) || !fits(facts.gpus, this.gpus)) return this.exit(task, 'full');
+    const present = [...this.tasks.values()].filter((t) => t.status !== 'exited');
+    const used = (kind: 'cpus' | 'gpus'): number =>
+      present.reduce((sum, t) => sum + (this.world.job(t.leg)?.[kind] ?? 0), 0);
+    if (used('cpus') > this.cpus + 1e-9 || used('gpus') > this.gpus + 1e-9) return this.exit(task, 'full');
     task.ends = this.world.clock.after(200, () => {
       task.status = 'running';
       this.world.trace(`${this.id} runs ${task.leg}`);
