Size test: 975 machines of 8 GPUs, five controllers, 8 tasks on each

The shape of the deployment with GPU-only teams at 1.5 times its size: one zone, 200 requests and 25 changes a second, values of 8 KiB, 16 changes a transaction, 1,800 sockets, 6 calls a second to the cloud. What is submitted and the machine types become parameters of the test; the two earlier sizes are as before.

--- a/test/size.test.ts
+++ b/test/size.test.ts
@@ -5,7 +5,7 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { World, type Shape } from './standins/world.js';
+import { World, type JobOptions, type Shape } from './standins/world.js';
 
 const LARGE: Shape = {
   zones: ['east', 'east', 'east'],
@@ -33,6 +33,44 @@
   connections: 1900,
 };
 
+/** Machines of one type with 8 GPUs, teams limited in GPUs alone, one zone. */
+const CLIPS: Shape = {
+  ...LARGE,
+  zones: ['east', 'east', 'east', 'east', 'east'],
+  machineTypes: [{ name: 'gpu', cpus: 64, gpus: 8, memoryGb: 512 }],
+  teams: [
+    { name: 'red', cpus: 0, cpusMax: 0, gpus: 1500, gpusMax: 5000 },
+    { name: 'blue', cpus: 0, cpusMax: 0, gpus: 3000, gpusMax: 8000 },
+    { name: 'green', cpus: 0, cpusMax: 0, gpus: 1000, gpusMax: 5000 },
+  ],
+  reportS: 2.5,
+  leaseS: 16,
+  cancelS: 36,
+  state: { rps: 200, writeRps: 25, valueKb: 8, txnOps: 16, enforced: true },
+  cloudRps: 6,
+  connections: 1800,
+  bootS: 40,
+};
+
+/** What is submitted, one job a second, and on which machines. */
+interface Load {
+  readonly machineTypes: readonly string[];
+  readonly service: JobOptions;
+  readonly array: JobOptions;
+}
+
+const CPU_LOAD: Load = {
+  machineTypes: ['large', 'small', 'small', 'small'],
+  service: { tasks: 8, cpus: 1 },
+  array: { tasks: 35, cpus: 2 },
+};
+/** Arrays that take 40 s, 5 out of 6 seconds: 8 tasks on each of 975 machines, with what the services take. */
+const GPU_LOAD: Load = {
+  machineTypes: ['gpu'],
+  service: { tasks: 4, cpus: 5, gpus: 1, memoryGb: 38 },
+  array: { tasks: 235, cpus: 6, gpus: 1, memoryGb: 48 },
+};
+
 interface Told {
   asked: number;
   accepted: number;
@@ -40,13 +78,13 @@
 }
 
 /** Users who submit, and ask after what was accepted, while the clock goes on. */
-async function busy(w: World, seconds: number, told: Told, ids: string[]): Promise<void> {
+async function busy(w: World, seconds: number, told: Told, ids: string[], load: Load): Promise<void> {
   for (let s = 0; s < seconds; s += 1) {
     const nodes = w.nodes.map((_, n) => n).filter((n) => w.nodes[n]?.handler);
     const n = nodes[s % nodes.length] ?? 0;
     const id = `req-${told.asked}`;
     const service = s % 6 === 0;
-    const options = { service, tasks: service ? 8 : 35, cpus: service ? 1 : 2, runMs: 40_000 };
+    const options = { service, runMs: 40_000, ...(service ? load.service : load.array) };
     const team = ['red', 'blue', 'green'][s % 3] ?? 'red';
     told.asked += 1;
     const body = w.submission(id, { ...options, team, image: `img-${s % 12}` });
@@ -85,15 +123,18 @@
   assert.ok(w.cloudCalls.most <= 3 * shape.cloudRps, `${w.cloudCalls.most} calls to the cloud in a second`);
 }
 
-async function live(shape: Shape, machines: number): Promise<void> {
+async function live(shape: Shape, machines: number, load = CPU_LOAD): Promise<World> {
   const w = new World(shape);
   const told = { asked: 0, accepted: 0, refused: 0 };
   const ids: string[] = [];
   const zones = [...new Set(shape.zones)];
   for (let i = 0; i < machines; i += 1)
-    w.addWorker(i % 4 === 0 ? 'large' : 'small', zones[Math.floor(i / 4) % zones.length] ?? 'east');
+    w.addWorker(
+      load.machineTypes[i % load.machineTypes.length] ?? '',
+      zones[Math.floor(i / 4) % zones.length] ?? 'east',
+    );
   await w.start();
-  await busy(w, 90, told, ids);
+  await busy(w, 90, told, ids, load);
   const named = [...w.state.rows.keys()].filter((k) => k.startsWith('c/machines/')).length;
   assert.equal(named, machines, 'every machine is in use');
   const before = {
@@ -105,14 +146,14 @@
 
   const lost = [...w.workers.keys()].filter((_, i) => i % 3 === 0);
   for (const m of lost) for (const n of w.nodes.keys()) w.cuts.add(`n${n}|${m}`);
-  await busy(w, 3, told, ids);
+  await busy(w, 3, told, ids, load);
   w.killNode(1);
-  await busy(w, 6, told, ids);
+  await busy(w, 6, told, ids, load);
   await w.startNode(1);
-  await busy(w, Math.ceil(shape.leaseS) + 10, told, ids);
+  await busy(w, Math.ceil(shape.leaseS) + 10, told, ids, load);
   w.trace('cut ends');
   w.cuts.clear();
-  await busy(w, 25, told, ids);
+  await busy(w, 25, told, ids, load);
   assert.deepEqual(
     lost.filter((m) => !w.workers.has(m)),
     [],
@@ -131,13 +172,24 @@
   for (const n of w.nodes.keys()) w.killNode(n);
   await w.step(1000);
   for (const n of w.nodes.keys()) await w.startNode(n);
-  await busy(w, 30, told, ids);
+  await busy(w, 30, told, ids, load);
   assert.equal(w.state.writesOf('c/token') - claims, w.nodes.length, 'each claims its own part, once');
   assert.ok(running(w) > 0.8 * ran);
   assert.ok(told.refused <= 0.1 * told.asked, `${told.refused} of ${told.asked} submissions refused`);
   withinLimits(w);
+  return w;
 }
 
-test('1,900 machines on three controllers: every rule and limit holds', () => live(LARGE, 1900));
+test('1,900 machines on three controllers: every rule and limit holds', async () => {
+  await live(LARGE, 1900);
+});
+
+test('940 machines on five controllers in two zones: every rule and limit holds', async () => {
+  await live(WIDE, 940);
+});
 
-test('940 machines on five controllers in two zones: every rule and limit holds', () => live(WIDE, 940));
+test('975 machines of 8 GPUs on five controllers, 8 tasks on each: every rule and limit holds', async () => {
+  const w = await live(CLIPS, 975, GPU_LOAD);
+  const full = [...w.workers.values()].filter((m) => m.active().length === 8).length;
+  assert.ok(full > 0.8 * 975, `${full} machines have 8 tasks`);
+});
