--- a/src/parts/named.ts
+++ b/src/parts/named.ts
@@ -1,8 +1,11 @@
 /** Which machines the state service names for which part, counted as they come and go. */
 import type { MachineType } from '../cloud/wire.js';
+import { addTo, ZERO, type MutableResources, type Resources } from '../model/resources.js';
 import type { MachineId, PartId, TypeId } from '../units.js';
 import type { MachineRecord } from './records.js';
 
+const ONE_CPU: Resources = { ...ZERO, cpus: 1 };
+
 export class NamedMachines {
   private readonly records = new Map<MachineId, MachineRecord>();
   private readonly counts = new Map<PartId, Map<TypeId, number>>();
@@ -21,10 +24,10 @@
     this.counts.set(part, types.set(type, (types.get(type) ?? 0) + sign));
   }
 
-  /** CPUs of a part's machines; a machine of unknown type counts as one. */
-  cpus(part: PartId, types: ReadonlyMap<TypeId, MachineType>): number {
-    let sum = 0;
-    for (const [type, n] of this.counts.get(part) ?? []) sum += n * (types.get(type)?.cpus ?? 1);
+  /** What a part's machines have together; a machine of unknown type counts as one CPU. */
+  capacity(part: PartId, types: ReadonlyMap<TypeId, MachineType>): Resources {
+    const sum: MutableResources = { ...ZERO };
+    for (const [type, count] of this.counts.get(part) ?? []) addTo(sum, types.get(type) ?? ONE_CPU, count);
     return sum;
   }
 }
--- a/src/workers/naming.ts
+++ b/src/workers/naming.ts
@@ -1,5 +1,6 @@
 /** Names machines that nobody has named yet for a part: many in one conditional transaction. */
 import type { Core } from '../core.js';
+import { dominantShare, largestOf } from '../model/resources.js';
 import { machineKey, type MachineRecord } from '../parts/records.js';
 import { Rank } from '../state/budget.js';
 import type { MachineId, PartId } from '../units.js';
@@ -12,6 +13,8 @@
 const LARGEST = 0.8;
 /** Of changes: what can be named before a worker that waits for its answer gives up. */
 const QUEUE_S = 2;
+/** In machines of the largest type. */
+const CLEARLY_AHEAD = 1.5;
 
 interface Wanted {
   readonly id: MachineId;
@@ -102,11 +105,12 @@
 export function choosePart(core: Core, report: Pick<Report, 'zone' | 'machine'>): PartId {
   const near = core.settings.parts.filter((p) => p.zone === report.zone);
   const pool = near.length > 0 ? near : core.settings.parts;
-  const cpus = new Map(pool.map((p) => [p.part, core.named.cpus(p.part, core.types)] as const));
-  let largest = 1;
-  for (const t of core.types.values()) largest = Math.max(largest, t.cpus);
+  // In the largest machines there are, by the resource of which the part has most.
+  const largest = core.types.size > 0 ? largestOf(core.types.values()) : { cpus: 1, gpus: 0, memoryGb: 0 };
+  const sizeOf = (part: PartId): number => dominantShare(core.named.capacity(part, core.types), largest);
+  const sizes = new Map(pool.map((p) => [p.part, sizeOf(p.part)] as const));
   const number = Number(/\d+$/.exec(report.machine)?.[0] ?? 0);
   const turn = pool[number % pool.length]?.part ?? core.settings.part;
-  const least = [...cpus].sort((a, b) => a[1] - b[1] || a[0] - b[0])[0];
-  return least && (cpus.get(turn) ?? 0) - least[1] > 1.5 * largest ? least[0] : turn;
+  const least = [...sizes].sort((a, b) => a[1] - b[1] || a[0] - b[0])[0];
+  return least && (sizes.get(turn) ?? 0) - least[1] > CLEARLY_AHEAD ? least[0] : turn;
 }
--- a/test/dominant.test.ts
+++ b/test/dominant.test.ts
@@ -17,6 +17,8 @@
 import { RangeSet } from '../src/ranges.js';
 import { View } from '../src/state/view.js';
 import type { PartId, SteadyMs, TeamId, TypeId } from '../src/units.js';
+import { NamedMachines } from '../src/parts/named.js';
+import { choosePart } from '../src/workers/naming.js';
 import { Rounds, type RoundsOptions } from './standins/rounds.js';
 import { plainSpec, plainTeam } from './standins/spec.js';
 import { checkTrace } from './standins/trace.js';
@@ -341,6 +343,25 @@
   assert.equal(plan({ cpus: 1, gpus: 0, memoryGb: 256 }, 4), '1 cpu', 'by memory');
 });
 
+test('a new machine goes to the part with less of its dominant resource, else by turns', () => {
+  const types = new Map([
+    ['gpu', { cpus: 8, gpus: 8, memoryGb: 64 }],
+    ['cpu', { cpus: 64, gpus: 0, memoryGb: 64 }],
+  ]);
+  const partFor = (machines: (readonly [part: number, type: string])[]): number => {
+    const named = new NamedMachines();
+    machines.forEach(([part, type], i) => named.learn(`m-${i}` as never, { part, type } as never));
+    const parts = [0, 1].map((part) => ({ part, zone: 'east' }));
+    const core = { settings: { parts }, named, types } as unknown as Core;
+    return choosePart(core, { zone: 'east' as never, machine: 'm-7' as never });
+  };
+  const of = (part: number, type: string, count: number) =>
+    Array.from({ length: count }, () => [part, type] as const);
+  assert.equal(partFor([...of(0, 'gpu', 3), ...of(1, 'cpu', 3)]), 1, '24 GPUs and 192 CPUs are alike');
+  assert.equal(partFor([...of(0, 'cpu', 3), ...of(1, 'gpu', 5)]), 0, '40 GPUs are clearly ahead');
+  assert.equal(partFor([...of(0, 'cpu', 1), ...of(1, 'cpu', 3)]), 0, 'by CPUs alone');
+});
+
 test('figures: what is used, free and waiting is told of every resource', () => {
   const part = partWith({ a: 3, b: 0 });
   const share = (): Resources => ({ cpus: Infinity, gpus: 5, memoryGb: Infinity });
