--- a/test/resources.test.ts
+++ b/test/resources.test.ts
@@ -4,12 +4,11 @@
 import { impossible } from '../src/jobs/admission.js';
 import type { JobRecord } from '../src/jobs/record.js';
 import type { JobSpec } from '../src/jobs/spec.js';
+import { UNLIMITED, ZERO } from '../src/model/resources.js';
 import { guaranteedOf } from '../src/quota/guarantee.js';
 import { decodeShares, encodeShares, evenShares, gift } from '../src/quota/shares.js';
 import { RangeSet } from '../src/ranges.js';
-import type { Team } from '../src/settings/settings.js';
-import type { TeamId } from '../src/units.js';
-import { plainSpec } from './standins/spec.js';
+import { plainSpec, plainTeam } from './standins/spec.js';
 import { checkTrace } from './standins/trace.js';
 import { SMALL, World, type Shape } from './standins/world.js';
 
@@ -23,8 +22,8 @@
   ],
 };
 
-const gpuTeam: Team = { name: 'red' as TeamId, cpus: 0, cpusMax: 0, gpus: 8, gpusMax: 20 };
-const cpuTeam: Team = { name: 'red' as TeamId, cpus: 8, cpusMax: 20, gpus: 0, gpusMax: 0 };
+const gpuTeam = plainTeam({ gpus: 8, gpusMax: 20 });
+const cpuTeam = plainTeam({ cpus: 8, cpusMax: 20 });
 
 async function threeGpuMachines(shape: Shape): Promise<World> {
   const w = new World(shape);
@@ -49,13 +48,42 @@
   checkTrace(w, 'gpu-only-teams');
 });
 
+test('teams with limits in CPUs, in GPUs and in both share machines, each within its own', async () => {
+  const shape: Shape = {
+    ...SMALL,
+    machineTypes: GPU_MACHINES,
+    teams: [
+      { name: 'red', cpus: 8, cpusMax: 24, gpus: 2, gpusMax: 4 },
+      { name: 'blue', cpus: 8, cpusMax: 20 },
+      { name: 'green', cpus: 0, cpusMax: 0, gpus: 2, gpusMax: 3 },
+    ],
+  };
+  const w = new World(shape);
+  for (let i = 0; i < 3; i += 1) w.addWorker('gpu', 'east');
+  await w.start();
+  await w.submit(0, 'req-gpus', { tasks: 8, cpus: 1, gpus: 1, runMs: 15_000 });
+  await w.submit(0, 'req-cpus', { tasks: 8, cpus: 4, runMs: 15_000 });
+  await w.submit(0, 'req-blue', { team: 'blue', tasks: 8, cpus: 4, runMs: 15_000 });
+  await w.submit(0, 'req-green', { team: 'green', tasks: 6, cpus: 12, gpus: 1, runMs: 15_000 });
+  await w.step(11_000);
+  // Of red's 24 CPUs its GPU tasks take 4; blue has 20 CPUs; green has 3 GPUs and any number of CPUs.
+  const jobs = ['req-gpus', 'req-cpus', 'req-blue', 'req-green'];
+  assert.deepEqual(
+    jobs.map((job) => started(w, job)),
+    [4, 5, 5, 3],
+  );
+  await w.step(35_000);
+  for (const job of jobs) await w.ask(0, 'GET', `/v2/runs/${job}`);
+  checkTrace(w, 'limits-of-each-kind');
+});
+
 test('where no team has a GPU limit and no machine a GPU, a job that asks for one is refused by type', async () => {
   const w = new World();
   w.addWorker('large', 'east');
   await w.start();
   const answer = await w.submit(0, 'req-1', { gpus: 1 });
   assert.equal(answer.status, 422);
-  assert.match(String(answer.body['error']), /machine type/);
+  assert.equal(answer.body['error'], 'cards: a task needs 1, no allowed machine type has more than 0');
 });
 
 test('a limit of 0 is none: it refuses nothing, and its shares are unlimited and cannot be given', () => {
@@ -64,21 +92,24 @@
   const why = (o: Partial<JobSpec>): string | null => impossible(plainSpec(o), types, core);
   assert.equal(why({ cpus: 64, gpus: 1 }), null);
   assert.equal(why({ shape: 'service', tasks: 20, cpus: 60, gpus: 1 }), null);
-  assert.match(why({ shape: 'service', tasks: 21, gpus: 1 }) ?? '', /GPUs/);
+  assert.equal(
+    why({ shape: 'service', tasks: 21, gpus: 1 }),
+    'cards: needs 21 at once, more than the limit of 20 of team red',
+  );
 
   const even = evenShares(gpuTeam, 3);
   assert.deepEqual(even, [
-    { cpus: Infinity, gpus: 7 },
-    { cpus: Infinity, gpus: 7 },
-    { cpus: Infinity, gpus: 6 },
+    { ...UNLIMITED, gpus: 7 },
+    { ...UNLIMITED, gpus: 7 },
+    { ...UNLIMITED, gpus: 6 },
   ]);
   const written = JSON.parse(JSON.stringify(encodeShares(gpuTeam, even))) as unknown;
   assert.deepEqual(written, { max: [0, 20], cpus: [0, 0, 0], gpus: [7, 7, 6] });
   assert.deepEqual(decodeShares(written, gpuTeam, 3), even);
-  const share = { cpus: Infinity, gpus: 7 };
-  const asked = { cpus: 100, gpus: 100 };
-  const used = { cpus: Infinity, gpus: 2 };
-  assert.deepEqual(gift(share, used, { cpus: 4, gpus: 1 }, asked), { cpus: 0, gpus: 4 });
+  const share = { ...UNLIMITED, gpus: 7 };
+  const asked = { cpus: 100, gpus: 100, memoryGb: 100 };
+  const used = { ...UNLIMITED, gpus: 2 };
+  assert.deepEqual(gift(share, used, { cpus: 4, gpus: 1, memoryGb: 8 }, asked), { ...ZERO, gpus: 4 });
 });
 
 test('a guarantee of 0 is none: the resource is not counted, and nothing is guaranteed by it', () => {
@@ -93,11 +124,61 @@
   assert.deepEqual([...guaranteedOf(jobs, gpuTeam)], ['req-a', 'req-b'], 'by GPUs alone');
   const plain = [job('req-a', 1, { tasks: 3 }), job('req-b', 2, { tasks: 2 })];
   assert.deepEqual([...guaranteedOf(plain, cpuTeam)], ['req-a'], 'by CPUs alone, as before');
-  assert.deepEqual([...guaranteedOf(plain, { ...cpuTeam, cpus: 0 })], [], 'no guarantee at all');
-  const both = { ...cpuTeam, gpus: 4, gpusMax: 10 };
+  assert.deepEqual([...guaranteedOf(plain, plainTeam({ cpusMax: 20 }))], [], 'no guarantee at all');
+  const both = plainTeam({ cpus: 8, cpusMax: 20, gpus: 4, gpusMax: 10 });
   assert.deepEqual(
     [...guaranteedOf([job('req-a', 1, { tasks: 3, gpus: 2 })], both)],
     [],
     'fits in CPUs alone',
   );
 });
+
+test('a refused job: the text names the field and its bound', async () => {
+  const w = await threeGpuMachines(GPU_TEAMS);
+  const said: string[] = [];
+  const ask = async (changes: Record<string, unknown>): Promise<void> => {
+    const body = { ...w.submission(`req-${said.length}`, { gpus: 1 }), ...changes };
+    const answer = await w.ask(0, 'POST', '/v2/runs', body);
+    said.push(`${answer.status} ${String(answer.body['error'])}`);
+  };
+  await ask({ cards: -1 });
+  await ask({ cards: 0.5 });
+  await ask({ cards: 2e9 });
+  await ask({ vcpus: -0.1 });
+  await ask({ memoryGb: '1' });
+  await ask({ cards: 9 });
+  await ask({ vcpus: 64.5 });
+  await ask({ memoryGb: 513 });
+  await ask({ cards: 1e9 });
+  await ask({ shape: 'standing', legs: 13 });
+  await ask({ hulls: ['tpu', 'fpga'] });
+  await ask({ harbor: 'north' });
+  await ask({ crew: 'nobody' });
+  assert.deepEqual(said, [
+    '400 cards: expected a whole number from 0 to 1000000000',
+    '400 cards: expected a whole number from 0 to 1000000000',
+    '400 cards: expected a whole number from 0 to 1000000000',
+    '400 vcpus: expected a number from 0 to 1000000000',
+    '400 memoryGb: expected a number from 0 to 1000000000',
+    '422 cards: a task needs 9, no allowed machine type has more than 8',
+    '422 vcpus: a task needs 64.5, no allowed machine type has more than 64',
+    '422 memoryGb: a task needs 513, no allowed machine type has more than 512',
+    '422 cards: needs 1000000000 at once, more than the limit of 12 of team red',
+    '422 cards: needs 13 at once, more than the limit of 12 of team red',
+    '422 hulls: tpu, fpga not in the catalog, which has gpu',
+    '422 harbor: north has no allowed machine type',
+    '422 unknown team nobody',
+  ]);
+});
+
+test('no type has room for all of a task, though each amount fits some type', () => {
+  const core = { settings: { teams: new Map([[gpuTeam.name, gpuTeam]]) } } as never;
+  const types = [
+    { name: 'gpu', cpus: 8, gpus: 8, memoryGb: 64, zones: ['east'] },
+    { name: 'cpu', cpus: 64, gpus: 0, memoryGb: 64, zones: ['east'] },
+  ] as never;
+  assert.equal(
+    impossible(plainSpec({ cpus: 16, gpus: 1 }), types, core),
+    'vcpus 16, cards 1, memoryGb 1: no allowed machine type has room for all of a task',
+  );
+});
--- a/test/waiting.test.ts
+++ b/test/waiting.test.ts
@@ -105,7 +105,7 @@
     now: NOW,
     types: TYPES,
     teams: new Map(),
-    share: () => ({ cpus: 2000, gpus: 0 }),
+    share: () => ({ cpus: 2000, gpus: 0, memoryGb: Infinity }),
     usedElsewhere: () => 0,
     guaranteed: () => false,
     peerHasRoom: () => false,
