Split the model of a part by duty; no import circle in parts and placement

Cause: parts/model.ts had five duties in 500 lines, and parts/accounting, parts/model, parts/sums and placement/round imported each other in a circle.

Where a task may start at all (allowed) is placement/constraints.ts.

--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -3,7 +3,7 @@
 import type { JobSpec } from '../jobs/spec.js';
 import { Priority } from '../jobs/spec.js';
 import { addTo, fits, slots, type MutableResources } from '../model/resources.js';
-import { allowed } from '../placement/round.js';
+import { allowed } from '../placement/constraints.js';
 import type { TypeId, ZoneId } from '../units.js';
 
 export interface Demand {
--- a/src/flock/willing.ts
+++ b/src/flock/willing.ts
@@ -3,7 +3,7 @@
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import type { JobSpec } from '../jobs/spec.js';
 import { fits, scale, slots, subtract, type Resources } from '../model/resources.js';
-import { allowed } from '../placement/round.js';
+import { allowed } from '../placement/constraints.js';
 import type { PartId, SteadyMs, TypeId, ZoneId } from '../units.js';
 
 export interface FreeMachine extends Resources {
--- a/src/jobs/limits.ts
+++ b/src/jobs/limits.ts
@@ -1,7 +1,7 @@
 /** Why a job can never run: its team's limit, or the machine types that there are. Texts name the field and its bound. */
 import type { MachineType } from '../cloud/wire.js';
 import { covers, largestOf, RESOURCE_KINDS } from '../model/resources.js';
-import { allowed } from '../placement/round.js';
+import { allowed } from '../placement/constraints.js';
 import type { Team } from '../settings/settings.js';
 import type { JobSpec } from './spec.js';
 import { FIELDS } from './wire.js';
--- /dev/null
+++ b/src/parts/job.ts
@@ -0,0 +1,70 @@
+/** A part's copy of a job: which of its tasks wait, are held back, or are done. */
+import { zoneOf, type JobRecord } from '../jobs/record.js';
+import type { JobSpec } from '../jobs/spec.js';
+import { RangeSet } from '../ranges.js';
+import { steady } from '../units.js';
+import type { JobId, MachineId, Millis, Revision, SteadyMs, ZoneId } from '../units.js';
+
+/** A place kept for a task until those stopped for it are gone. */
+export interface Hold {
+  readonly machine: MachineId;
+  readonly until: SteadyMs;
+}
+
+export interface PartJob {
+  readonly id: JobId;
+  readonly spec: JobSpec;
+  record: JobRecord;
+  version: Revision;
+  /** May be started. */
+  readonly waiting: RangeSet;
+  /** Entrusted to us before our claim and not seen since: may be on a machine. */
+  readonly frozen: RangeSet;
+  /** Done, not yet in the record. */
+  readonly finished: RangeSet;
+  /** Being handed to another part: the write's outcome is open. */
+  readonly moving: RangeSet;
+  readonly holds: Map<number, Hold>;
+  /** When it was accepted, by our clock; before this process began, perhaps. */
+  readonly firstSeen: SteadyMs;
+  /** Since when tasks of it have been waiting for room. */
+  waitingSince: SteadyMs | null;
+  notBefore: SteadyMs;
+  /** Nobody could be stopped for it: no new search before this time. */
+  searchAfter: SteadyMs;
+  errors: number;
+  successes: number;
+  readonly errorMachines: Set<MachineId>;
+  arrivedAt: SteadyMs;
+}
+
+export function newPartJob(
+  record: JobRecord,
+  version: Revision,
+  now: SteadyMs,
+  open: RangeSet,
+  atClaim: boolean,
+  age: Millis,
+): PartJob {
+  return {
+    id: record.spec.id,
+    spec: record.spec,
+    record,
+    version,
+    waiting: atClaim ? RangeSet.empty() : open,
+    frozen: atClaim ? open : RangeSet.empty(),
+    finished: RangeSet.empty(),
+    moving: RangeSet.empty(),
+    holds: new Map(),
+    firstSeen: steady(now - age),
+    waitingSince: null,
+    notBefore: now,
+    searchAfter: now,
+    errors: 0,
+    successes: 0,
+    errorMachines: new Set(),
+    arrivedAt: now,
+  };
+}
+
+export const pinOf = (job: PartJob, index: number): ZoneId | null => zoneOf(job.record, index);
--- /dev/null
+++ b/src/parts/machine.ts
@@ -0,0 +1,166 @@
+/** A machine of a part, what is bound to it, and what is free on it. */
+import type { MachineType } from '../cloud/wire.js';
+import type { JobSpec } from '../jobs/spec.js';
+import { subtract, ZERO, type MutableResources } from '../model/resources.js';
+import type { ExitCause } from '../workers/wire.js';
+import type {
+  Address,
+  Attempt,
+  ImageId,
+  JobId,
+  MachineId,
+  Sequence,
+  Session,
+  SteadyMs,
+  TaskId,
+  TaskIndex,
+  Token,
+  TypeId,
+  ZoneId,
+} from '../units.js';
+
+/** A direct launch without an answer: it may be carried out as long as token and session match. */
+export interface Doubt {
+  readonly token: Token;
+  readonly session: Session;
+  readonly since: SteadyMs;
+}
+
+export interface Binding {
+  readonly id: TaskId;
+  readonly job: JobId;
+  readonly index: TaskIndex;
+  readonly attempt: Attempt;
+  readonly machine: MachineId;
+  /** null: a task seen on a machine whose job is gone; its size is unknown. */
+  readonly spec: JobSpec | null;
+  /** `ordered`: the worker has not shown it yet. */
+  phase: 'ordered' | 'fetching' | 'running' | 'saving';
+  readonly boundAt: SteadyMs;
+  runningSince: SteadyMs | null;
+  stop: { grace: number; direct: 'due' | 'sent' } | null;
+  /** A direct request carrying its launch is on its way. */
+  inFlight: boolean;
+  /** A direct launch is due. */
+  due: boolean;
+  doubt: Doubt | null;
+  /** Number of the report whose answer carried the launch last. */
+  answered: Sequence | null;
+}
+
+export interface Exited {
+  readonly id: TaskId;
+  readonly job: JobId;
+  readonly index: TaskIndex;
+  readonly attempt: Attempt;
+  readonly cause: ExitCause;
+  doubt: Doubt | null;
+}
+
+export interface Machine {
+  readonly id: MachineId;
+  address: Address;
+  readonly type: TypeId;
+  readonly zone: ZoneId;
+  readonly spot: boolean;
+  session: Session;
+  sequence: Sequence;
+  token: Token;
+  /** A report of an earlier session than this describes tasks that are certainly gone. */
+  leastSession: Session;
+  lastHeard: SteadyMs | null;
+  /** Since when its reports come without a gap. */
+  heardSince: SteadyMs | null;
+  /** Receipt of the last report that we may have answered. */
+  lastReport: SteadyMs | null;
+  lastReportSequence: Sequence | null;
+  /** When we first heard of its present session, whose lease began before that. */
+  sessionSeen: SteadyMs | null;
+  /** Since the claim it has reported under our token, or its lease is certainly over. */
+  settled: boolean;
+  /** When the cloud takes it, once it said so. */
+  takenAt: SteadyMs | null;
+  readonly bindings: Map<TaskId, Binding>;
+  /** What the bindings take together, kept up to date with them. */
+  readonly used: MutableResources;
+  /** What bindings below critical take of it, and how many bindings are of unknown size. */
+  readonly lesser: MutableResources;
+  unknownSize: number;
+  /** How many bindings need each image: it is there, or on its way. */
+  readonly wanted: Map<ImageId, number>;
+  exited: Map<TaskId, Exited>;
+  /** Images it should hold, the least recently used first; `Part.sawImage` keeps them within its cache. */
+  readonly images: Map<ImageId, number>;
+  directBusy: boolean;
+  /**
+   * Since when nothing of ours has certainly arrived there; null while it is reached. Reports prove nothing: a
+   * machine may be heard and not hear us. Nothing new is placed on it until it answers a direct request.
+   */
+  unreachedSince: SteadyMs | null;
+  /** Direct requests in a row that it did not answer. */
+  missedCalls: number;
+  /** When we first answered a report of it that did not show our token yet. */
+  answeredUnsettled: SteadyMs | null;
+  /** No new tasks before this time: it refused, failed or could not be reached. */
+  avoidUntil: SteadyMs;
+  faults: { at: SteadyMs; job: JobId }[];
+  draining: boolean;
+  returning: boolean;
+  idleSince: SteadyMs | null;
+  readonly since: SteadyMs;
+}
+
+export function newMachine(
+  id: MachineId,
+  address: Address,
+  type: TypeId,
+  zone: ZoneId,
+  spot: boolean,
+  now: SteadyMs,
+  settled: boolean,
+): Machine {
+  return {
+    id,
+    address,
+    type,
+    zone,
+    spot,
+    session: 0 as Session,
+    sequence: 0 as Sequence,
+    token: 0 as Token,
+    leastSession: 0 as Session,
+    lastHeard: null,
+    heardSince: null,
+    lastReport: null,
+    lastReportSequence: null,
+    sessionSeen: null,
+    settled,
+    takenAt: null,
+    bindings: new Map(),
+    used: { ...ZERO },
+    lesser: { ...ZERO },
+    unknownSize: 0,
+    wanted: new Map(),
+    exited: new Map(),
+    images: new Map(),
+    directBusy: false,
+    unreachedSince: null,
+    missedCalls: 0,
+    answeredUnsettled: null,
+    avoidUntil: now,
+    faults: [],
+    draining: false,
+    returning: false,
+    idleSince: null,
+    since: now,
+  };
+}
+
+/** A machine whose tasks, or whose tasks' sizes, we do not know in full. */
+export const isUnclear = (m: Machine): boolean => !m.settled || m.unknownSize > 0;
+
+/** What is free on a machine; nothing while something of unknown size is on it. */
+export function roomOn(machine: Machine, type: MachineType | undefined): MutableResources {
+  if (!type || machine.unknownSize > 0) return { ...ZERO };
+  return subtract(type, machine.used);
+}
--- a/src/parts/sums.ts
+++ b/src/parts/sums.ts
@@ -18,7 +18,7 @@
 } from '../model/resources.js';
 import type { JobSpec } from '../jobs/spec.js';
 import type { ImageId, TeamId, TypeId } from '../units.js';
-import { isUnclear, roomOn, type Machine } from './model.js';
+import { isUnclear, roomOn, type Machine } from './machine.js';
 
 /** A machine without anything free of a resource is in no level of it. */
 const FULL = -1;
--- a/src/placement/gather.ts
+++ b/src/placement/gather.ts
@@ -18,7 +18,8 @@
 } from '../model/resources.js';
 import type { Binding, Machine, Part } from '../parts/model.js';
 import { isUnclear, pinOf, roomOn } from '../parts/model.js';
-import { allowed, usable, type PlanContext } from './round.js';
+import { allowed } from './constraints.js';
+import { usable, type PlanContext } from './round.js';
 
 export interface Move {
   readonly binding: Binding;
--- a/src/placement/plan.ts
+++ b/src/placement/plan.ts
@@ -7,8 +7,8 @@
 import { pinOf, type Binding, type Machine, type Part, type PartJob } from '../parts/model.js';
 import type { ZoneId } from '../units.js';
 import { compareKeys, Places } from './places.js';
+import { allowed } from './constraints.js';
 import {
-  allowed,
   charge,
   deadlineAt,
   lateness,
--- a/src/placement/round.ts
+++ b/src/placement/round.ts
@@ -12,7 +12,7 @@
 } from '../model/resources.js';
 import { roomOn, usageOf, type Binding, type Machine, type Part, type PartJob } from '../parts/model.js';
 import type { Team } from '../settings/settings.js';
-import type { JobId, MachineId, SteadyMs, TeamId, TypeId, ZoneId } from '../units.js';
+import type { JobId, MachineId, SteadyMs, TeamId, TypeId } from '../units.js';
 
 export interface PlanContext {
   readonly now: SteadyMs;
@@ -119,20 +119,6 @@
   return left < due ? 0 : left < due * ctx.latest(job.spec.lane) ? 1 : 2;
 }
 
-/** May a task of this job start on such a machine at all? */
-export function allowed(
-  spec: JobSpec,
-  type: TypeId,
-  zone: ZoneId,
-  spot: boolean,
-  pin: ZoneId | null,
-): boolean {
-  if (spot && !spec.spot) return false;
-  if (spec.types && !spec.types.includes(type)) return false;
-  if (spec.zone !== null && spec.zone !== zone) return false;
-  return pin === null || pin === zone;
-}
-
 export function usable(m: Machine, ctx: Pick<PlanContext, 'now' | 'reportMs'>): boolean {
   if (m.unreachedSince !== null) return false;
   if (!m.settled || m.draining || m.returning || m.takenAt !== null || ctx.now < m.avoidUntil) return false;
--- a/src/placement/victims.ts
+++ b/src/placement/victims.ts
@@ -15,8 +15,8 @@
 import type { SteadyMs, ZoneId } from '../units.js';
 import { millis, plus } from '../units.js';
 import { isCrowded } from './places.js';
+import { allowed } from './constraints.js';
 import {
-  allowed,
   charge,
   deadlineAt,
   lateness,
--- a/test/reports.test.ts
+++ b/test/reports.test.ts
@@ -7,7 +7,7 @@
 import { silentLog } from '../src/log.js';
 import { bind, newMachine, Part, syncJob, usageOf, type Binding, type Machine } from '../src/parts/model.js';
 import { accountFor } from '../src/parts/accounting.js';
-import { allowed } from '../src/placement/round.js';
+import { allowed } from '../src/placement/constraints.js';
 import { RangeSet } from '../src/ranges.js';
 import { ordersInAnswer } from '../src/workers/orders.js';
 import { applyReport } from '../src/workers/reports.js';
