--- a/test/gap.test.ts
+++ b/test/gap.test.ts
@@ -57,9 +57,11 @@
   readonly hanging: boolean;
   /** Direct launches get no answer and are carried out late. */
   readonly inDoubt: boolean;
-  /** The answers to its reads are more than a second on their way to the leader: to its looks at what has changed, or
-   *  to a list of everything. */
-  readonly slowAnswers: 'none' | 'changes' | 'list';
+  /**
+   * An answer is more than a second on its way to the leader: to its watch, to a look at what has changed for a user's
+   * question, or to a list of everything.
+   */
+  readonly slowAnswers: 'none' | 'watch' | 'question' | 'list';
   /** Connections from the leader to its machines take almost as long as it waits for them. */
   readonly slowConnections: boolean;
   readonly leaderRate: number;
@@ -145,7 +147,7 @@
     this.cancelIn('req-queue', FIRST_CANCELLATION_MS + STEP_MS);
     if (c.slowAnswers !== 'list') this.askLeader();
     // What the leader reads is true when the store says so, and old when it arrives.
-    if (c.slowAnswers === 'changes')
+    if (c.slowAnswers === 'watch' || c.slowAnswers === 'question')
       w.state.answerDelay = (node) => (node === `n${LEADER}` ? SLOW_ANSWER_MS : 0);
     await w.step(FIRST_CANCELLATION_MS);
     this.refuseLeaderOnceItHasLooked([...last]);
@@ -175,7 +177,7 @@
     }
     w.state.followed = (node, blockMs) => {
       // One for a user's question was asked just now; one that waits for changes, up to seconds ago.
-      if (node === `n${LEADER}` && (blockMs === 0 || c.slowAnswers === 'changes')) refuse();
+      if (node === `n${LEADER}` && (blockMs === 0) !== (c.slowAnswers === 'watch')) refuse();
     };
   }
 
@@ -372,9 +374,10 @@
   assert.equal(phases.size, 10);
 });
 
-test('answers that are long on their way to the leader prolong nothing: looks at what changed, and whole lists', async (t) => {
-  const cases = [0, 1, 2, 3, 4, 5].map((i): Case => {
-    const slowAnswers = i % 2 === 0 ? 'changes' : 'list';
+test('answers that are long on their way to the leader prolong nothing: watches, questions, whole lists', async (t) => {
+  const kinds = ['watch', 'question', 'list'] as const;
+  const cases = [0, 1, 2, 3, 4, 5, 6, 7, 8].map((i): Case => {
+    const slowAnswers = kinds[i % kinds.length] ?? 'list';
     return { ...plain, slowAnswers, seed: 200 + i, outageAfter: 100 * i };
   });
   checkMargins(t, await playAll(cases));
@@ -402,3 +405,36 @@
   );
   checkMargins(t, await playAll(cases, true));
 });
+
+/** The leader is refused and goes on with machines that hear nobody else; a successor has machines of its own. */
+async function startAgainElsewhere(seed: number): Promise<World> {
+  const w = new World(GAP);
+  w.clockRate = (who) => (who === `n${LEADER}` || who.startsWith('m-') ? SLOW : 1);
+  await w.start();
+  for (let i = 0; i < 4; i += 1) {
+    w.addWorker('large', 'west');
+    await w.step(REPORT_MS / 4);
+  }
+  await w.step(2000);
+  await w.submit(0, 'req-1', { tasks: 16, cpus: 2, runMs: 1e6 });
+  await w.step(1000 + 70 * seed);
+  // A machine that the cloud has deleted would hold nothing.
+  w.cloudOutage = true;
+  const held = [...w.workers.keys()];
+  for (const m of held) for (const n of w.nodes.keys()) if (n !== LEADER) w.cuts.add(`n${n}|${m}`);
+  for (let i = 0; i < 4; i += 1) w.addWorker('large', 'west');
+  await w.step(2000);
+  w.state.refused.add(`n${LEADER}`);
+  w.trace('the leader alone is refused');
+  await w.step(CANCEL_MS + LEASE_MS + 6000);
+  const again = [...w.workers.values()].filter((m) => !held.includes(m.id)).flatMap((m) => m.active());
+  assert.equal(again.length, 16, `every task runs again\n${w.lines.join('\n')}`);
+  return w;
+}
+
+test('after a takeover that reaches no machine, tasks start elsewhere only when the old leader cannot renew their lease', async () => {
+  for (let seed = 0; seed < 8; seed += 1) {
+    const w = await startAgainElsewhere(seed);
+    assert.deepEqual(w.broken, [], w.lines.join('\n'));
+  }
+});
