--- a/test/gap.test.ts
+++ b/test/gap.test.ts
@@ -424,9 +424,21 @@
   for (const m of held) for (const n of w.nodes.keys()) if (n !== LEADER) w.cuts.add(`n${n}|${m}`);
   for (let i = 0; i < 4; i += 1) w.addWorker('large', 'west');
   await w.step(2000);
-  w.state.refused.add(`n${LEADER}`);
-  w.trace('the leader alone is refused');
-  await w.step(CANCEL_MS + LEASE_MS + 6000);
+  // Refused right after a look at what has changed, for a user's question: it goes on as long as it ever may.
+  w.state.followed = (node, blockMs) => {
+    if (node !== `n${LEADER}` || blockMs > 0 || w.state.refused.has(node)) return;
+    w.state.refused.add(node);
+    w.trace('the leader alone is refused');
+  };
+  for (let ms = 0; ms < 400; ms += 7)
+    w.clock.after(ms, () => void w.request(LEADER, 'GET', '/v2/runs/req-1'));
+  // Users ask the others too, so that the successor's view is always current: it waits for the lease alone.
+  const more = CANCEL_MS + LEASE_MS + 6000;
+  for (let ms = 0; ms < more; ms += 200)
+    for (const n of w.nodes.keys())
+      if (n !== LEADER) w.clock.after(ms, () => void w.request(n, 'GET', '/v2/runs/req-1'));
+  await w.step(more);
+  assert.ok(w.state.refused.has(`n${LEADER}`));
   const again = [...w.workers.values()].filter((m) => !held.includes(m.id)).flatMap((m) => m.active());
   assert.equal(again.length, 16, `every task runs again\n${w.lines.join('\n')}`);
   return w;
--- a/test/stale-reads.test.ts
+++ b/test/stale-reads.test.ts
@@ -4,7 +4,10 @@
 import { View } from '../src/state/view.js';
 import type { Revision, StateKey } from '../src/units.js';
 import { steady } from '../src/units.js';
-import { World } from './standins/world.js';
+import { parseSettings } from '../src/settings/settings.js';
+import { StateClient } from '../src/state/client.js';
+import { SimClock } from './standins/clock.js';
+import { settingsText, World } from './standins/world.js';
 
 const KEY = 'c/live/req-1' as StateKey;
 const at = (n: number): Revision => n as Revision;
@@ -21,6 +24,26 @@
   assert.deepEqual(seen, ['first', undefined, 'second']);
 });
 
+test('a list read page by page is as old as its first page: what changes meanwhile is followed from there', async () => {
+  const pages = [
+    { entries: [{ path: 'c/live/req-1', data: 1, entry: 3 }], hasNext: true, ledger: 10 },
+    { entries: [{ path: 'c/live/req-2', data: 2, entry: 11 }], hasNext: false, ledger: 12 },
+  ];
+  const store = {
+    call: () => Promise.resolve({ kind: 'answer', status: 200, body: pages.shift() } as const),
+  };
+  const settings = parseSettings(settingsText(0), 'n0.toml');
+  const client = new StateClient(store, store, new SimClock(), settings, () => 0.5);
+  const listed = await client.list('c/');
+  assert.equal(listed?.revision, 10);
+  assert.equal(listed.entries.length, 2);
+  // req-1 was dropped at 12, while the second page was read.
+  const view = new View(() => undefined);
+  view.load(listed.entries, listed.revision, steady(0));
+  view.follow([{ key: KEY, value: undefined, version: at(12) }], at(12), steady(1));
+  assert.equal(view.get(KEY), undefined);
+});
+
 /** A job is cancelled through n0, which must look at it again while it ends; the look is answered late. */
 async function cancelAtItsEnd(from: number): Promise<World> {
   const w = new World();
