--- a/test/gap.test.ts
+++ b/test/gap.test.ts
@@ -183,8 +183,9 @@
 
   /** Users ask the leader until it is refused: its view is as new as it can be. */
   private askLeader(): void {
-    const { w } = this;
-    for (let ms = 0; ms < 2 * FIRST_CANCELLATION_MS; ms += 7)
+    const { w, c } = this;
+    const until = 2 * FIRST_CANCELLATION_MS + (c.slowAnswers === 'question' ? 2 * SLOW_ANSWER_MS : 0);
+    for (let ms = 0; ms < until; ms += 7)
       w.clock.after(ms, () => void w.request(LEADER, 'GET', `/v2/runs/${BYSTANDER}`));
   }
 
