--- a/test/gap.test.ts
+++ b/test/gap.test.ts
@@ -31,12 +31,14 @@
 const LEAST_LEFT_MS = 1012;
 const LEAST_SLACK_MS = 1008;
 /** A successor that reaches the machines has told them long before the old leader falls silent. */
-const LEAST_LEFT_REACHED_MS = 4500;
+const LEAST_LEFT_REACHED_MS = 4000;
 /** All machines are in the zone of this controller, so they are its own. */
 const LEADER = 1;
 const MACHINES = 10;
 const JOBS_A_MACHINE = 4;
 const STEP_MS = 50;
+/** The one job that nobody cancels. */
+const BYSTANDER = 'req-bystander';
 const OUTAGE_STEP_MS = 250;
 /** How long before the refusal the first cancellation is asked for. */
 const FIRST_CANCELLATION_MS = 300;
@@ -51,13 +53,15 @@
   readonly outageAfter: number;
   /** Peers claim between the refusal and the outage, and reach the machines or not. */
   readonly takeover: 'none' | 'reaches the machines' | 'reaches no machine';
-  /** Half of the machines hang around the refusal, and go on within their lease. */
+  /** Half of the machines hang around the refusal, and go on within their lease or after it. */
   readonly hanging: boolean;
   /** Direct launches get no answer and are carried out late. */
   readonly inDoubt: boolean;
-  /** The answers to its reads are more than a second on their way to the leader: to its looks at what has changed, or
-   *  to a list of everything. */
-  readonly slowAnswers: 'none' | 'changes' | 'list';
+  /**
+   * An answer is more than a second on its way to the leader: to its watch, to a look at what has changed for a user's
+   * question, or to a list of everything.
+   */
+  readonly slowAnswers: 'none' | 'watch' | 'question' | 'list';
   /** Connections from the leader to its machines take almost as long as it waits for them. */
   readonly slowConnections: boolean;
   readonly leaderRate: number;
@@ -136,13 +140,15 @@
         if (n !== LEADER) for (const m of w.workers.keys()) w.cuts.add(`n${n}|${m}`);
     // Where the refusal falls in the intervals of reports and of looks at the store.
     await w.step(1000 + ((c.seed * 37) % 100));
-    const jobs = this.shuffled([...w.jobs.keys()].filter((id) => !id.startsWith('req-queue')));
+    const jobs = this.shuffled([...w.jobs.keys()].filter((id) => id !== 'req-queue' && id !== BYSTANDER));
     const last = new Set([...w.workers.values()].map((m) => jobOn(m.active(), jobs)));
     const others = jobs.filter((id) => !last.has(id));
     others.forEach((id, i) => this.cancelIn(id, Math.floor(i / 2) * STEP_MS));
     this.cancelIn('req-queue', FIRST_CANCELLATION_MS + STEP_MS);
-    if (c.slowAnswers === 'none') this.askLeader(others.at(-1) ?? '');
-    else this.slowDown(c.slowAnswers);
+    if (c.slowAnswers !== 'list') this.askLeader();
+    // What the leader reads is true when the store says so, and old when it arrives.
+    if (c.slowAnswers === 'watch' || c.slowAnswers === 'question')
+      w.state.readDelay = (node) => (node === `n${LEADER}` ? SLOW_ANSWER_MS : 0);
     await w.step(FIRST_CANCELLATION_MS);
     this.refuseLeaderOnceItHasLooked([...last]);
     await w.step(CANCEL_MS + 4500);
@@ -153,29 +159,34 @@
   /** The moment after which its view can not be renewed any more, and the first confirmations that it can't know of. */
   private refuseLeaderOnceItHasLooked(jobs: readonly string[]): void {
     const { w, c } = this;
-    w.state.followed = (node, blockMs) => {
-      // One for a user's question was asked just now; one that waits for changes, up to seconds ago.
-      if (node !== `n${LEADER}` || (blockMs > 0 && c.slowAnswers === 'none')) return;
-      w.state.followed = () => undefined;
+    const refuse = (): void => {
+      if (this.refusedAt < Infinity) return;
       this.refusedAt = w.clock.now();
-      w.state.refused.add(node);
+      w.state.refused.add(`n${LEADER}`);
       w.trace('the leader alone is refused');
       for (const id of jobs) this.cancelIn(id, 0);
     };
+    if (c.slowAnswers === 'list') {
+      w.state.tooOld.add(`n${LEADER}`);
+      w.state.readDelay = (node, path) => {
+        if (node !== `n${LEADER}` || !path.startsWith('/kv?')) return 0;
+        refuse();
+        return SLOW_ANSWER_MS;
+      };
+      return;
+    }
+    w.state.followed = (node, blockMs) => {
+      // One for a user's question was asked just now; one that waits for changes, up to seconds ago.
+      if (node === `n${LEADER}` && (blockMs === 0) !== (c.slowAnswers === 'watch')) refuse();
+    };
   }
 
   /** Users ask the leader until it is refused: its view is as new as it can be. */
-  private askLeader(id: string): void {
-    const { w } = this;
-    for (let ms = 0; ms < 2 * FIRST_CANCELLATION_MS; ms += 7)
-      w.clock.after(ms, () => void w.request(LEADER, 'GET', `/v2/runs/${id}`));
-  }
-
-  /** What the leader reads is true when the store says so, and old when it arrives. */
-  private slowDown(answers: 'changes' | 'list'): void {
-    const { w } = this;
-    w.state.readDelay = (node) => (node === `n${LEADER}` ? SLOW_ANSWER_MS : 0);
-    if (answers === 'list') w.state.tooOld.add(`n${LEADER}`);
+  private askLeader(): void {
+    const { w, c } = this;
+    const until = 2 * FIRST_CANCELLATION_MS + (c.slowAnswers === 'question' ? 2 * SLOW_ANSWER_MS : 0);
+    for (let ms = 0; ms < until; ms += 7)
+      w.clock.after(ms, () => void w.request(LEADER, 'GET', `/v2/runs/${BYSTANDER}`));
   }
 
   /** Long tasks on every machine, and short ones that come and go in the room beside them. */
@@ -189,6 +200,8 @@
     await w.step(2500);
     for (let i = 0; i < MACHINES * JOBS_A_MACHINE; i += 1)
       void w.request(0, 'POST', '/v2/runs', w.submission(`req-${i}`, { cpus: 1.75, runMs: 1e6 }));
+    const bystander = w.submission(BYSTANDER, { cpus: 0.25, runMs: 1e6 });
+    void w.request(0, 'POST', '/v2/runs', bystander);
     await w.step(1500);
     const queue = w.submission('req-queue', { cpus: 1, tasks: 400, runMs: 650 });
     void w.request(LEADER, 'POST', '/v2/runs', queue);
@@ -232,14 +245,15 @@
     };
   }
 
-  /** Each hangs for almost a lease, and goes on at another time. */
+  /** Some go on within their lease, at another time each; with odd seeds, most after it. */
   private hangHalf(): void {
-    const { w } = this;
+    const { w, c } = this;
+    const longer = c.seed % 2 === 1 ? 2 * REPORT_MS : 0;
     [...w.workers.values()].forEach((m, i) => {
       if (i % 2 === 1) return;
       const from = 400 + i * 450;
       w.clock.after(from, () => m.hang());
-      w.clock.after(from + LEASE_MS - REPORT_MS - 100 * i, () => m.goOn());
+      w.clock.after(from + LEASE_MS - REPORT_MS - 100 * i + longer, () => m.goOn());
     });
   }
 
@@ -361,9 +375,10 @@
   assert.equal(phases.size, 10);
 });
 
-test('answers that are long on their way to the leader prolong nothing: looks at what changed, and whole lists', async (t) => {
-  const cases = [0, 1, 2, 3, 4, 5].map((i): Case => {
-    const slowAnswers = i % 2 === 0 ? 'changes' : 'list';
+test('answers that are long on their way to the leader prolong nothing: watches, questions, whole lists', async (t) => {
+  const kinds = ['watch', 'question', 'list'] as const;
+  const cases = [0, 1, 2, 3, 4, 5, 6, 7, 8].map((i): Case => {
+    const slowAnswers = kinds[i % kinds.length] ?? 'list';
     return { ...plain, slowAnswers, seed: 200 + i, outageAfter: 100 * i };
   });
   checkMargins(t, await playAll(cases));
@@ -391,3 +406,48 @@
   );
   checkMargins(t, await playAll(cases, true));
 });
+
+/** The leader is refused and goes on with machines that hear nobody else; a successor has machines of its own. */
+async function startAgainElsewhere(seed: number): Promise<World> {
+  const w = new World(GAP);
+  w.clockRate = (who) => (who === `n${LEADER}` || who.startsWith('m-') ? SLOW : 1);
+  await w.start();
+  for (let i = 0; i < 4; i += 1) {
+    w.addWorker('large', 'west');
+    await w.step(REPORT_MS / 4);
+  }
+  await w.step(2000);
+  await w.submit(0, 'req-1', { tasks: 16, cpus: 2, runMs: 1e6 });
+  await w.step(1000 + 70 * seed);
+  // A machine that the cloud has deleted would hold nothing.
+  w.cloudOutage = true;
+  const held = [...w.workers.keys()];
+  for (const m of held) for (const n of w.nodes.keys()) if (n !== LEADER) w.cuts.add(`n${n}|${m}`);
+  for (let i = 0; i < 4; i += 1) w.addWorker('large', 'west');
+  await w.step(2000);
+  // Refused right after a look at what has changed, for a user's question: it goes on as long as it ever may.
+  w.state.followed = (node, blockMs) => {
+    if (node !== `n${LEADER}` || blockMs > 0 || w.state.refused.has(node)) return;
+    w.state.refused.add(node);
+    w.trace('the leader alone is refused');
+  };
+  for (let ms = 0; ms < 400; ms += 7)
+    w.clock.after(ms, () => void w.request(LEADER, 'GET', '/v2/runs/req-1'));
+  // Users ask the others too, so that the successor's view is always current: it waits for the lease alone.
+  const more = CANCEL_MS + LEASE_MS + 6000;
+  for (let ms = 0; ms < more; ms += 200)
+    for (const n of w.nodes.keys())
+      if (n !== LEADER) w.clock.after(ms, () => void w.request(n, 'GET', '/v2/runs/req-1'));
+  await w.step(more);
+  assert.ok(w.state.refused.has(`n${LEADER}`));
+  const again = [...w.workers.values()].filter((m) => !held.includes(m.id)).flatMap((m) => m.active());
+  assert.equal(again.length, 16, `every task runs again\n${w.lines.join('\n')}`);
+  return w;
+}
+
+test('after a takeover that reaches no machine, tasks start elsewhere only when the old leader cannot renew their lease', async () => {
+  for (let seed = 0; seed < 8; seed += 1) {
+    const w = await startAgainElsewhere(seed);
+    assert.deepEqual(w.broken, [], w.lines.join('\n'));
+  }
+});
