What a claimant learns late and is older than its claim may be running (ran_twice)

A job accepted, or a machine named, after the first page was read and before the claim commits reached it after the part was opened, and passed for newer than the claim: the job's tasks waited, the machine counted as empty, and what the old leader had started ran twice. Both are now judged by revision: not newer than the claim means frozen, or unsettled, until the part is accounted for (Part.claimedVersion; WorkerDesk.onMachine, syncJob). Without the change the new test says 'ran_twice req-last/0 on m-0 and m-2', and on m-1 and m-6 for the machine.

--- a/src/controller.ts
+++ b/src/controller.ts
@@ -212,7 +212,7 @@
       const record = value === undefined ? null : decodeMachine(value);
       this.core.named.learn(id, record);
       if (record) this.fleet.forget(id);
-      this.workers.onMachine(id, record);
+      this.workers.onMachine(id, record, version);
     } else if (key.startsWith(ALIVE)) this.shareLimits();
     else if (key === TIME_KEY) this.core.time.reached(decodeTime(value), this.core.clock.now());
     this.core.wake();
--- a/src/parts/model.ts
+++ b/src/parts/model.ts
@@ -185,6 +185,8 @@
   readonly unsettled = new Unsettled();
   private counter = 0;
   private readonly firstToken: Token;
+  /** Revision of our claim: whatever was entrusted to the part up to then, an owner before us may have acted on. */
+  readonly claimedVersion: Revision;
   private readonly imageNews = new Set<Machine>();
   private turns = this.machines.values();
 
@@ -196,6 +198,7 @@
     readonly types: ReadonlyMap<TypeId, MachineType>,
   ) {
     this.firstToken = token;
+    this.claimedVersion = version;
   }
 
   add(machine: Machine): void {
@@ -203,10 +206,22 @@
     for (const image of machine.images.keys()) this.sums.holds(image, machine, true);
     this.sums.count(machine, 1);
     this.sums.level(machine, this.types);
-    if (!machine.settled) this.unsettled.add(machine, 1);
+    if (!machine.settled) this.reopen(machine);
     this.due.add(machine);
   }
 
+  private reopen(machine: Machine): void {
+    this.unsettled.add(machine, 1);
+    this.accounted = false;
+  }
+
+  /** Learnt of after the claim, and older than it: an owner before us may have started these tasks. */
+  freeze(job: PartJob, tasks: RangeSet): void {
+    job.frozen.addAll(tasks);
+    this.accounted = false;
+    this.unsettled.changed = true;
+  }
+
   /** Its bindings have been ended before. */
   drop(machine: Machine): void {
     this.machines.delete(machine.id);
@@ -297,7 +312,9 @@
   open.removeAll(record.done);
   if (!known) {
     if (open.isEmpty) return;
-    const job = newPartJob(record, version, now, open, atClaim, age);
+    const late = !atClaim && version <= part.claimedVersion;
+    const job = newPartJob(record, version, now, open, atClaim || late, age);
+    if (late) part.freeze(job, open);
     part.jobs.set(job.id, job);
     part.queue.add(job);
     return;
@@ -310,7 +327,8 @@
   known.version = version;
   if (!added.isEmpty) known.arrivedAt = now;
   // Handed to us: its giver knew that none of it is on a machine.
-  known.waiting.addAll(added);
+  if (version > part.claimedVersion) known.waiting.addAll(added);
+  else if (!added.isEmpty) part.freeze(known, added);
   for (const set of [known.waiting, known.frozen, known.moving]) keepOnly(set, open);
   keepOnly(known.finished, open);
   for (const b of part.boundOf.get(known.id) ?? []) known.waiting.remove(b.index);
--- a/src/workers/desk.ts
+++ b/src/workers/desk.ts
@@ -10,7 +10,7 @@
 import { Naming } from './naming.js';
 import type { RunTimes } from '../placement/runtimes.js';
 import type { Caller } from '../state/client.js';
-import type { Address, MachineId, PartId, Session, SteadyMs } from '../units.js';
+import type { Address, MachineId, PartId, Revision, Session, SteadyMs } from '../units.js';
 import { millis, plus, steady } from '../units.js';
 import { applyReport, endSession, type ReportContext } from './reports.js';
 import { ordersDirect, ordersInAnswer } from './orders.js';
@@ -152,14 +152,15 @@
   }
 
   /** The view shows a machine of a part that we own, or its removal. */
-  onMachine(id: MachineId, record: MachineRecord | null): void {
+  onMachine(id: MachineId, record: MachineRecord | null, version: Revision): void {
     const now = this.core.clock.now();
     for (const part of this.core.parts.values()) {
       const known = part.machines.get(id);
       if (record?.part === part.id) {
         if (known) continue;
         // Named after our claim: commanded by nobody before, so nothing of ours is on it.
-        part.add(newMachine(id, record.address, record.type, record.zone, record.spot, now, true));
+        const settled = version > part.claimedVersion;
+        part.add(newMachine(id, record.address, record.type, record.zone, record.spot, now, settled));
       } else if (known) this.remove(part, known);
     }
     if (record) return;
--- a/test/takeover-meetings.test.ts
+++ b/test/takeover-meetings.test.ts
@@ -406,6 +406,73 @@
   }
 });
 
+test('2. the claimant lists everything anew while its claim commits: what came after the first page is older', async () => {
+  for (const what of ['job', 'machine'] as const) {
+    const w = await worldWith(4, 2, WIDE);
+    if (what === 'machine')
+      await w.submit(0, 'req-long', { tasks: 4, cpus: 4, zone: 'east', runMs: 600_000 });
+    await w.step(3000);
+    refuseLeases(w, 'n0');
+    let claimed = false;
+    w.atTakeover(0, () => (claimed = true));
+    let fresh = '';
+    const submitLast = (): void => void w.request(0, 'POST', '/v2/runs', w.submission('req-last', lastJob));
+    const betweenPages = (): void => {
+      if (what === 'job') return submitLast();
+      fresh = w.addWorker('large', 'east');
+      w.clock.after(300, submitLast);
+    };
+    whenClaimArrives(w, 1200, () => listAnew(w, ['n1', 'n2'], () => claimed, betweenPages));
+    let began = '';
+    w.onStart = (machine) => {
+      if (began !== '' || claimed) return;
+      began = machine;
+      w.cutOff([machine], [1, 2]);
+      // Room for another start of everything.
+      for (let i = 0; i < 4; i += 1) w.addWorker('large', 'east');
+    };
+    await w.until('n0 starts something while its part is being claimed', () => began !== '');
+    if (what === 'machine') assert.equal(began, fresh);
+    assert.equal(w.ownerOf(0), 0);
+    await w.step(90_000);
+    w.assertRules(`a ${what} between the pages`);
+    const done = w.lines.filter((l) => /ends req-last\/\d: done/.test(l)).length;
+    assert.equal(done, 2, w.lines.join('\n'));
+  }
+});
+
+/**
+ * These controllers are told that their watch is too old. The second page of the list that they read then begins with
+ * the parts and comes once `claimed` holds; `betweenPages` runs when the first one has been read by all.
+ */
+function listAnew(
+  w: MeetingWorld,
+  nodes: readonly string[],
+  claimed: () => boolean,
+  betweenPages: () => void,
+): void {
+  const call = w.state.call.bind(w.state);
+  const tooOld = new Set(nodes);
+  let firstPages = 0;
+  w.state.call = async (node: string, request: Call): Promise<Outcome> => {
+    const listing = request.path.startsWith('/kv?') && nodes.includes(node);
+    if (listing && !request.path.includes('from=')) {
+      const before = [...w.state.rows.keys()].filter((key) => key.startsWith('c/') && key < 'c/parts/');
+      const path = request.path.replace('most=1000', `most=${before.length}`);
+      const page = await call(node, { ...request, path });
+      firstPages += 1;
+      if (firstPages === nodes.length) betweenPages();
+      return page;
+    }
+    if (request.path.startsWith('/follow') && tooOld.delete(node))
+      return { kind: 'answer', status: 410, body: {} };
+    while (listing && !claimed()) await w.clock.sleep(5);
+    return call(node, request);
+  };
+  // Their open watches end with it; the next ones are refused.
+  w.state.apply({ when: [], apply: [{ put: 'c/note', data: {} }] });
+}
+
 /** Acts when the first claim of part 0 reaches the state service, which applies such claims so many ms later. */
 function whenClaimArrives(w: MeetingWorld, delayMs: number, act: () => void): void {
   let arrived = false;
