--- a/test/takeover-meetings.test.ts
+++ b/test/takeover-meetings.test.ts
@@ -5,6 +5,11 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { Call, Outcome } from '../src/http/client.js';
+import type { JobRecord } from '../src/jobs/record.js';
+import { accountFor } from '../src/parts/accounting.js';
+import { Part, syncJob } from '../src/parts/model.js';
+import { RangeSet } from '../src/ranges.js';
+import { plainSpec } from './standins/spec.js';
 import type { StateStandin } from './standins/state.js';
 import type { WorkerStandin } from './standins/worker.js';
 import { SMALL, World, type JobOptions } from './standins/world.js';
@@ -441,6 +446,32 @@
   }
 });
 
+test('2. tasks handed to a part before its claim, and heard of after it, may be running; later ones are not', () => {
+  const claim = 10;
+  const part = new Part(0 as never, 7 as never, claim as never, 0 as never, new Map());
+  const record = (mine: number): JobRecord => ({
+    spec: plainSpec({ tasks: 6 }),
+    home: 1 as never,
+    born: 1 as never,
+    accepted: null,
+    assignments: [
+      { from: 0, to: mine, part: 0 as never, zone: null },
+      { from: mine, to: 6, part: 1 as never, zone: null },
+    ],
+    done: RangeSet.empty(),
+  });
+  syncJob(part, record(2), 5 as never, 0 as never, true);
+  accountFor(part);
+  const job = part.jobs.get('req-1' as never);
+  assert.deepEqual(job?.waiting.ranges(), [[0, 2]], 'the part has no machine on which they could be');
+  syncJob(part, record(4), 9 as never, 0 as never, false);
+  assert.deepEqual(job?.frozen.ranges(), [[2, 4]]);
+  syncJob(part, record(6), 11 as never, 0 as never, false);
+  assert.deepEqual(job?.frozen.ranges(), [[2, 4]]);
+  accountFor(part);
+  assert.deepEqual(job?.waiting.ranges(), [[0, 6]], 'accounted for anew');
+});
+
 /**
  * These controllers are told that their watch is too old. The second page of the list that they read then begins with
  * the parts and comes once `claimed` holds; `betweenPages` runs when the first one has been read by all.
