--- a/src/parts/part.ts
+++ b/src/parts/part.ts
@@ -1,6 +1,7 @@
 /** What the owner of a part holds in memory: its machines, what is bound to them, and the tasks entrusted to it. */
 import type { MachineType } from '../cloud/wire.js';
 import { type Resources } from '../model/resources.js';
+import type { RangeSet } from '../ranges.js';
 import type { PartJob } from './job.js';
 import type { Binding, Machine } from './machine.js';
 import { Sums } from './sums.js';
@@ -49,6 +50,8 @@
   readonly unsettled = new Unsettled();
   private counter = 0;
   private readonly firstToken: Token;
+  /** Revision of our claim: whatever was entrusted to the part up to then, an owner before us may have acted on. */
+  readonly claimedVersion: Revision;
   private readonly imageNews = new Set<Machine>();
   private turns = this.machines.values();
 
@@ -60,6 +63,7 @@
     readonly types: ReadonlyMap<TypeId, MachineType>,
   ) {
     this.firstToken = token;
+    this.claimedVersion = version;
   }
 
   add(machine: Machine): void {
@@ -67,10 +71,22 @@
     for (const image of machine.images.keys()) this.sums.holds(image, machine, true);
     this.sums.count(machine, 1);
     this.sums.level(machine, this.types);
-    if (!machine.settled) this.unsettled.add(machine, 1);
+    if (!machine.settled) this.reopen(machine);
     this.due.add(machine);
   }
 
+  private reopen(machine: Machine): void {
+    this.unsettled.add(machine, 1);
+    this.accounted = false;
+  }
+
+  /** Learnt of after the claim, and older than it: an owner before us may have started these tasks. */
+  freeze(job: PartJob, tasks: RangeSet): void {
+    job.frozen.addAll(tasks);
+    this.accounted = false;
+    this.unsettled.changed = true;
+  }
+
   /** Its bindings have been ended before. */
   drop(machine: Machine): void {
     this.machines.delete(machine.id);
--- a/src/parts/sync.ts
+++ b/src/parts/sync.ts
@@ -21,7 +21,9 @@
   open.removeAll(record.done);
   if (!known) {
     if (open.isEmpty) return;
-    const job = newPartJob(record, version, now, open, atClaim, age);
+    const late = !atClaim && version <= part.claimedVersion;
+    const job = newPartJob(record, version, now, open, atClaim || late, age);
+    if (late) part.freeze(job, open);
     part.jobs.set(job.id, job);
     part.queue.add(job);
     return;
@@ -34,7 +36,8 @@
   known.version = version;
   if (!added.isEmpty) known.arrivedAt = now;
   // Handed to us: its giver knew that none of it is on a machine.
-  known.waiting.addAll(added);
+  if (version > part.claimedVersion) known.waiting.addAll(added);
+  else if (!added.isEmpty) part.freeze(known, added);
   for (const set of [known.waiting, known.frozen, known.moving]) keepOnly(set, open);
   keepOnly(known.finished, open);
   for (const b of part.boundOf.get(known.id) ?? []) known.waiting.remove(b.index);
--- a/src/workers/service.ts
+++ b/src/workers/service.ts
@@ -6,7 +6,7 @@
 import type { Ownership } from '../parts/ownership.js';
 import { decodeMachine, MACHINES, type MachineRecord } from '../parts/records.js';
 import type { RunTimes } from '../placement/runtimes.js';
-import type { Address, MachineId, PartId } from '../units.js';
+import type { Address, MachineId, PartId, Revision } from '../units.js';
 import { WorkerClients, type WorkerLink } from './clients.js';
 import { DirectOrders } from './direct-orders.js';
 import { LeaseExpiry } from './lease-expiry.js';
@@ -48,14 +48,15 @@
   }
 
   /** The view shows a machine of a part that we own, or its removal. */
-  onMachine(id: MachineId, record: MachineRecord | null): void {
+  onMachine(id: MachineId, record: MachineRecord | null, version: Revision): void {
     const now = this.core.clock.now();
     for (const part of this.core.parts.values()) {
       const present = part.machines.get(id);
       if (record?.part === part.id) {
         if (present) continue;
         // Named after our claim: commanded by nobody before, so nothing of ours is on it.
-        part.add(newMachine(id, record.address, record.type, record.zone, record.spot, now, true));
+        const settled = version > part.claimedVersion;
+        part.add(newMachine(id, record.address, record.type, record.zone, record.spot, now, settled));
       } else if (present) this.remove(part, present);
     }
     if (record) return;
