New machines go to parts by CPUs or GPUs, not by memory; CPU-only decisions as before

Cause: with memory counted, the part with more small machines of equal memory counted as ahead, and where CPUs are all that is limited machines went to other parts than before.

Change: memory is left out of that one comparison. Test: five machines of 32 CPUs against two of 64 are not clearly ahead; it fails with memory counted.

--- a/src/workers/naming.ts
+++ b/src/workers/naming.ts
@@ -1,6 +1,6 @@
 /** Names machines that nobody has named yet for a part: many in one conditional transaction. */
 import type { Core } from '../core.js';
-import { dominantShare, largestOf } from '../model/resources.js';
+import { dominantShare, largestOf, ZERO } from '../model/resources.js';
 import { machineKey, type MachineRecord } from '../parts/records.js';
 import { Rank } from '../state/budget.js';
 import type { MachineId, PartId } from '../units.js';
@@ -15,6 +15,7 @@
 const QUEUE_S = 2;
 /** In machines of the largest type. */
 const CLEARLY_AHEAD = 1.5;
+const ONE_CPU = { ...ZERO, cpus: 1 };
 
 interface Wanted {
   readonly id: MachineId;
@@ -105,8 +106,9 @@
 export function choosePart(core: Core, report: Pick<Report, 'zone' | 'machine'>): PartId {
   const near = core.settings.parts.filter((p) => p.zone === report.zone);
   const pool = near.length > 0 ? near : core.settings.parts;
-  // In the largest machines there are, by the resource of which the part has most.
-  const largest = core.types.size > 0 ? largestOf(core.types.values()) : { cpus: 1, gpus: 0, memoryGb: 0 };
+  // In the largest machines there are, by CPUs or GPUs, of whichever the part has more: small machines often have
+  // as much memory as large ones, which says little about the work that they can take.
+  const largest = core.types.size > 0 ? { ...largestOf(core.types.values()), memoryGb: 0 } : ONE_CPU;
   const sizeOf = (part: PartId): number => dominantShare(core.named.capacity(part, core.types), largest);
   const sizes = new Map(pool.map((p) => [p.part, sizeOf(p.part)] as const));
   const number = Number(/\d+$/.exec(report.machine)?.[0] ?? 0);
--- a/test/dominant.test.ts
+++ b/test/dominant.test.ts
@@ -347,6 +347,7 @@
   const types = new Map([
     ['gpu', { cpus: 8, gpus: 8, memoryGb: 64 }],
     ['cpu', { cpus: 64, gpus: 0, memoryGb: 64 }],
+    ['half', { cpus: 32, gpus: 0, memoryGb: 64 }],
   ]);
   const partFor = (machines: (readonly [part: number, type: string])[]): number => {
     const named = new NamedMachines();
@@ -360,6 +361,7 @@
   assert.equal(partFor([...of(0, 'gpu', 3), ...of(1, 'cpu', 3)]), 1, '24 GPUs and 192 CPUs are alike');
   assert.equal(partFor([...of(0, 'cpu', 3), ...of(1, 'gpu', 5)]), 0, '40 GPUs are clearly ahead');
   assert.equal(partFor([...of(0, 'cpu', 1), ...of(1, 'cpu', 3)]), 0, 'by CPUs alone');
+  assert.equal(partFor([...of(0, 'cpu', 2), ...of(1, 'half', 5)]), 1, 'not by memory: 128 and 160 CPUs');
 });
 
 test('figures: what is used, free and waiting is told of every resource', () => {
