A job that asks for one zone and to be spread is kept in one zone

Change: such a job is spread over its one best zone: half of it, rounded up, may run there, the rest waits.

--- a/src/flock/assign.ts
+++ b/src/flock/assign.ts
@@ -81,10 +81,13 @@
   return { from, to, part, zone };
 }
 
+const byRoom = (ctx: AssignContext, spec: JobSpec, zones: readonly ZoneId[]): ZoneId[] =>
+  [...zones].sort((a, b) => capacityInZone(ctx, spec, b) - capacityInZone(ctx, spec, a));
+
 /** At most half of the tasks, rounded up, in one zone: fixed per task, so that any subset that runs is legal. */
 function spread(ctx: AssignContext, spec: JobSpec, zones: readonly ZoneId[]): Assignment[] {
   const cap = Math.ceil(spec.tasks / 2);
-  const order = [...zones].sort((a, b) => capacityInZone(ctx, spec, b) - capacityInZone(ctx, spec, a));
+  const order = byRoom(ctx, spec, zones);
   const each = Math.min(cap, Math.ceil(spec.tasks / Math.max(1, order.length)));
   const out: Assignment[] = [];
   let at = 0;
@@ -129,11 +132,10 @@
 
 export function assignJob(spec: JobSpec, ctx: AssignContext): Assignment[] {
   const zones = spec.zone === null ? ctx.zones : [spec.zone];
-  if (spec.spread && spec.tasks > 1) return spread(ctx, spec, zones);
-  if (spec.oneZone) {
-    const order = [...zones].sort((a, b) => capacityInZone(ctx, spec, b) - capacityInZone(ctx, spec, a));
-    return [pinned(ctx, spec, 0, spec.tasks, order[0] ?? ctx.homeZone)];
-  }
+  // A job that asks for one zone and to be spread never runs whole: half of it in one zone breaks neither promise.
+  if (spec.spread && spec.tasks > 1)
+    return spread(ctx, spec, spec.oneZone ? byRoom(ctx, spec, zones).slice(0, 1) : zones);
+  if (spec.oneZone) return [pinned(ctx, spec, 0, spec.tasks, byRoom(ctx, spec, zones)[0] ?? ctx.homeZone)];
   if (spec.shape === 'gang') return [whole(ctx, spec)];
   if (spec.zone !== null) return [pinned(ctx, spec, 0, spec.tasks, spec.zone)];
   return overflow(ctx, spec);
