A deterministic simulator: simulate run and simulate fuzz

The real Controller through its Ports on a modelled clock, network, state service, cloud, workers, load balancer and users; a judge that sees only machines and users and checks every rule of PROTOCOL, and left_waiting; scenarios as TOML; random schedules over several processes, shrunk to files that replay. serve and check do not load any of it. Guard check of the judge: eight defects of the model are each found by the expected rule, and without them the same scenarios break none.

--- a/src/cli/cli.ts
+++ b/src/cli/cli.ts
@@ -1,10 +1,11 @@
-/** The command line: serve, check the settings, help, version. */
+/** The command line: serve, check the settings, simulate, help, version. */
 import { readFileSync } from 'node:fs';
 import { Command, CommanderError } from 'commander';
 import { Controller, networkPorts } from '../controller.js';
 import { openLog } from '../log.js';
 import { KNOBS, loadSettings, loadTuning, logLevelOf, SettingsError } from '../settings/settings.js';
 import { systemClock } from '../units.js';
+import { CommandFailed } from './command-failed.js';
 
 const BAD_SETTINGS = 2;
 
@@ -49,6 +50,13 @@
   return `\nOperators' properties:\n${lines.join('\n')}\n`;
 }
 
+/** The simulator is loaded only when it or the help is asked for: `serve` does not pay for it. */
+async function addSimulate(cli: Command, command: string | undefined): Promise<void> {
+  if (command === 'serve' || command === 'check') return;
+  const { addSimulateCommands } = await import('./simulate.js');
+  addSimulateCommands(cli);
+}
+
 function program(): Command {
   const cli = new Command('cleatport');
   cli.description('Cluster scheduler: a flock of controllers that place tasks on rented machines');
@@ -75,10 +83,16 @@
 
 export async function main(argv: readonly string[]): Promise<number> {
   try {
-    await program().parseAsync([...argv]);
+    const cli = program();
+    await addSimulate(cli, argv[2]);
+    await cli.parseAsync([...argv]);
     return 0;
   } catch (e) {
     if (e instanceof CommanderError) return e.exitCode === 0 ? 0 : BAD_SETTINGS;
+    if (e instanceof CommandFailed) {
+      process.stderr.write(`cleatport: ${e.message}\n`);
+      return e.code;
+    }
     const text = e instanceof SettingsError ? e.message : `start failed: ${(e as Error).message}`;
     process.stderr.write(`cleatport: ${text}\n`);
     return e instanceof SettingsError ? BAD_SETTINGS : 1;
--- /dev/null
+++ b/src/simulation/jobs.ts
@@ -0,0 +1,66 @@
+/** The jobs that the model's users submit, and what is true of them: how long a task runs, what is saved, what is done. */
+export type UserPriority = 'critical' | 'urgent' | 'standard' | 'best_effort';
+
+export interface UserJob {
+  readonly id: string;
+  readonly class: string;
+  readonly team: string;
+  readonly shape: 'array' | 'service';
+  readonly priority: UserPriority;
+  readonly tasks: number;
+  readonly cpus: number;
+  readonly gpus: number;
+  readonly memoryGb: number;
+  readonly types: readonly string[] | null;
+  readonly zone: string | null;
+  readonly sameZone: boolean;
+  readonly spread: boolean;
+  readonly spot: boolean;
+  readonly image: string;
+  readonly imageGb: number;
+  readonly estimateS: number;
+  readonly checkpointS: number;
+  readonly saveS: number;
+  /** How long a task really runs; Infinity for services. */
+  readonly runS: number;
+}
+
+/** The body of a submission, in the words of PROTOCOL. */
+export const encodeSubmission = (job: UserJob): Record<string, unknown> => ({
+  uid: job.id,
+  lane: job.class,
+  crew: job.team,
+  shape: job.shape === 'service' ? 'standing' : 'batch',
+  rank: job.priority,
+  legs: job.tasks,
+  vcpus: job.cpus,
+  cards: job.gpus,
+  memoryGb: job.memoryGb,
+  cargo: job.image,
+  sizeGb: job.imageGb,
+  hulls: job.types,
+  harbor: job.zone,
+  samePlace: job.sameZone,
+  apart: job.spread,
+  driftboats: job.spot,
+  passageS: job.shape === 'service' ? 0 : job.estimateS,
+  moorS: job.checkpointS,
+  stowS: job.saveS,
+  tideS: null,
+});
+
+/** What workers look up: descriptions that users have uploaded, checkpoints and results, all kept outside machines. */
+export class JobStorage {
+  readonly jobs = new Map<string, UserJob>();
+  /** Progress that was saved, in milliseconds of run time, by task. */
+  readonly saved = new Map<string, number>();
+  /** Tasks whose result is kept. */
+  readonly results = new Set<string>();
+
+  jobOf(task: string): UserJob | null {
+    const cut = task.lastIndexOf('/');
+    const job = this.jobs.get(task.slice(0, cut));
+    const index = Number(task.slice(cut + 1));
+    return job && index >= 0 && index < job.tasks ? job : null;
+  }
+}
--- /dev/null
+++ b/src/simulation/observer.ts
@@ -0,0 +1,37 @@
+/** What can be seen from outside: tasks on machines, and what users ask and are told. The judge watches these. */
+import type { UserJob } from './jobs.js';
+
+export interface MachineFacts {
+  readonly id: string;
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly cpus: number;
+  readonly gpus: number;
+  readonly memoryGb: number;
+}
+
+export type UserRequestKind = 'submit' | 'ask' | 'cancel';
+
+export interface UserAnswer {
+  readonly kind: UserRequestKind;
+  readonly job: string;
+  /** When the request was sent and answered, in simulated milliseconds. */
+  readonly sentAt: number;
+  readonly answeredAt: number;
+  /** null: no answer. */
+  readonly status: number | null;
+  readonly state: string | null;
+  /** The request was not a plain one: a submission that lacks a field, or a question about a job nobody submitted. */
+  readonly odd: boolean;
+}
+
+export interface Observer {
+  /** The task holds its image on the machine: from now on it is there. */
+  taskStarted(machine: MachineFacts, task: string): void;
+  /** It exited, was killed, or the machine is gone. */
+  taskEnded(machine: MachineFacts, task: string, completed: boolean): void;
+  jobSubmitted(job: UserJob): void;
+  cancelRequested(job: string): void;
+  answered(answer: UserAnswer): void;
+}
--- /dev/null
+++ b/src/simulation/random.ts
@@ -0,0 +1,50 @@
+/** Seeded random numbers. Each part of the model draws from a stream of its own, so that one does not shift another. */
+import { createHash } from 'node:crypto';
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+
+const RESOLUTION = 1 << 30;
+
+export class RandomStream {
+  private readonly generator;
+
+  constructor(private readonly seed: number) {
+    this.generator = xoroshiro128plus(seed);
+  }
+
+  /** A stream that depends on this one's seed and the label only, not on what was drawn so far. */
+  fork(label: string): RandomStream {
+    const digest = createHash('sha256').update(`${this.seed}/${label}`).digest();
+    return new RandomStream(digest.readInt32BE(0));
+  }
+
+  /** A whole number from `low` to `high`, both included. */
+  whole(low: number, high: number): number {
+    return high <= low ? low : uniformInt(this.generator, low, high);
+  }
+
+  /** From 0 (included) to 1 (excluded). */
+  unit(): number {
+    return uniformInt(this.generator, 0, RESOLUTION - 1) / RESOLUTION;
+  }
+
+  between(low: number, high: number): number {
+    return low + (high - low) * this.unit();
+  }
+
+  chance(share: number): boolean {
+    return this.unit() < share;
+  }
+
+  pick<T>(items: readonly T[]): T {
+    return items[this.whole(0, items.length - 1)] as T;
+  }
+
+  /** Up to `count` different items, in random order. */
+  sample<T>(items: readonly T[], count: number): T[] {
+    const rest = [...items];
+    const out: T[] = [];
+    while (out.length < count && rest.length > 0) out.push(...rest.splice(this.whole(0, rest.length - 1), 1));
+    return out;
+  }
+}
--- /dev/null
+++ b/src/simulation/shrink.ts
@@ -0,0 +1,91 @@
+/** Makes a scenario that breaks a rule smaller, as long as it still breaks the same rule. */
+import type { Rule } from './judge.js';
+import type { Fault, Scenario } from './scenario.js';
+import { Simulation } from './simulation.js';
+
+/** Runs that one shrinking may cost. */
+const MOST_RUNS = 80;
+const AFTER_VIOLATION_S = 0.5;
+const LEAST_FOR_S = 0.5;
+
+/** When the scenario breaks the rule first, in simulated seconds, or null. */
+export type Trial = (scenario: Scenario) => Promise<number | null>;
+
+/** Tries a scenario with its own seed, up to the first break of the rule. */
+export const trialOf =
+  (rule: Rule): Trial =>
+  async (scenario) => {
+    const result = await new Simulation(scenario, { seed: scenario.seed, stopAt: [rule] }).run();
+    return result.violations.find((v) => v.rule === rule)?.atS ?? null;
+  };
+
+class Shrinker {
+  private runs = 0;
+
+  constructor(
+    private best: Scenario,
+    private readonly trial: Trial,
+  ) {}
+
+  private async accept(candidate: Scenario): Promise<boolean> {
+    if (this.runs >= MOST_RUNS) return false;
+    this.runs += 1;
+    const atS = await this.trial(candidate);
+    if (atS === null) return false;
+    const duration_s = Math.min(candidate.duration_s, Math.ceil((atS + AFTER_VIOLATION_S) * 10) / 10);
+    this.best = { ...candidate, duration_s };
+    return true;
+  }
+
+  /** Leaves out one item after another, the last first; true: something could be left out. */
+  private async leaveOut<T>(
+    itemsOf: (s: Scenario) => readonly T[],
+    replace: (s: Scenario, items: T[]) => Scenario,
+    least: number,
+  ): Promise<boolean> {
+    let changed = false;
+    for (let i = itemsOf(this.best).length - 1; i >= 0; i -= 1) {
+      const rest = itemsOf(this.best).filter((_, at) => at !== i);
+      if (rest.length < least) continue;
+      if (await this.accept(replace(this.best, rest))) changed = true;
+    }
+    return changed;
+  }
+
+  private async shorten(): Promise<boolean> {
+    let changed = false;
+    for (let i = 0; i < this.best.faults.length; i += 1) {
+      const fault = this.best.faults[i] as Fault;
+      if (!('for_s' in fault) || fault.for_s / 2 < LEAST_FOR_S) continue;
+      const shorter = { ...fault, for_s: fault.for_s / 2 };
+      const faults = this.best.faults.map((f, at) => (at === i ? shorter : f));
+      if (await this.accept({ ...this.best, faults })) changed = true;
+    }
+    return changed;
+  }
+
+  async run(): Promise<Scenario> {
+    // The shortest run first: every later trial is as short.
+    if (!(await this.accept(this.best))) return this.best;
+    for (let again = true; again;) {
+      again = await this.leaveOut(
+        (s) => s.faults,
+        (s, faults) => ({ ...s, faults }),
+        0,
+      );
+      if (
+        await this.leaveOut(
+          (s) => s.load,
+          (s, load) => ({ ...s, load }),
+          1,
+        )
+      )
+        again = true;
+      if (await this.shorten()) again = true;
+    }
+    return this.best;
+  }
+}
+
+export const shrink = (scenario: Scenario, trial: Trial): Promise<Scenario> =>
+  new Shrinker(scenario, trial).run();
--- /dev/null
+++ b/src/simulation/state-store.ts
@@ -0,0 +1,105 @@
+/** The consistent store itself: keys with versions, leases, and the latest changes. Knows nothing of time or faults. */
+export interface Row {
+  readonly data: unknown;
+  readonly entry: number;
+  readonly mooring: number | undefined;
+}
+
+export interface StoredChange {
+  readonly put?: string;
+  readonly drop?: string;
+  readonly data?: unknown;
+  readonly entry: number;
+}
+
+/** A transaction as PROTOCOL words it. */
+export interface TransactionBody {
+  readonly when?: readonly { readonly path: string; readonly entry: number }[];
+  readonly apply?: readonly {
+    readonly put?: string;
+    readonly drop?: string;
+    readonly data?: unknown;
+    readonly mooring?: number;
+  }[];
+}
+
+export type TransactionResult =
+  | { readonly kind: 'done'; readonly ledger: number }
+  | { readonly kind: 'conflict'; readonly failed: readonly string[]; readonly ledger: number }
+  | { readonly kind: 'no-lease' };
+
+const HISTORY = 10_000;
+
+export class StateStore {
+  readonly rows = new Map<string, Row>();
+  readonly leases = new Set<number>();
+  ledger = 0;
+  private nextLease = 1;
+  private history: StoredChange[] = [];
+  /** Changes up to this revision are no longer kept. */
+  private forgotten = 0;
+
+  constructor(private readonly checkConditions: boolean) {}
+
+  transact(body: TransactionBody): TransactionResult {
+    const apply = body.apply ?? [];
+    for (const a of apply) {
+      if (a.put !== undefined && a.mooring !== undefined && !this.leases.has(a.mooring))
+        return { kind: 'no-lease' };
+    }
+    const failed = (body.when ?? [])
+      .filter((c) => (this.rows.get(c.path)?.entry ?? 0) !== c.entry)
+      .map((c) => c.path);
+    if (failed.length > 0 && this.checkConditions) return { kind: 'conflict', failed, ledger: this.ledger };
+    if (apply.length > 0) this.ledger += 1;
+    for (const a of apply) {
+      if (a.put !== undefined) this.put(a.put, a.data, a.mooring);
+      else if (a.drop !== undefined) this.drop(a.drop);
+    }
+    return { kind: 'done', ledger: this.ledger };
+  }
+
+  private put(key: string, data: unknown, mooring: number | undefined): void {
+    this.rows.set(key, { data, entry: this.ledger, mooring });
+    this.remember({ put: key, data, entry: this.ledger });
+  }
+
+  private drop(key: string): void {
+    if (this.rows.delete(key)) this.remember({ drop: key, entry: this.ledger });
+  }
+
+  private remember(change: StoredChange): void {
+    this.history.push(change);
+    if (this.history.length < 2 * HISTORY) return;
+    const old = this.history.splice(0, this.history.length - HISTORY);
+    this.forgotten = old.at(-1)?.entry ?? this.forgotten;
+  }
+
+  grantLease(): number {
+    const id = this.nextLease;
+    this.nextLease += 1;
+    this.leases.add(id);
+    return id;
+  }
+
+  /** Ends a lease and removes the keys attached to it. */
+  endLease(id: number): void {
+    if (!this.leases.delete(id)) return;
+    const keys = [...this.rows].filter(([, row]) => row.mooring === id).map(([key]) => key);
+    if (keys.length > 0) this.ledger += 1;
+    for (const key of keys) this.drop(key);
+  }
+
+  list(prefix: string, after: string, most: number): { keys: string[]; more: boolean } {
+    const keys = [...this.rows.keys()].filter((k) => k.startsWith(prefix) && k > after).sort();
+    return { keys: keys.slice(0, most), more: keys.length > most };
+  }
+
+  /** Changes of keys with the prefix after a revision; null: too old to know. */
+  changesAfter(prefix: string, revision: number): StoredChange[] | null {
+    if (revision < this.forgotten) return null;
+    let first = this.history.length;
+    while (first > 0 && (this.history[first - 1]?.entry ?? 0) > revision) first -= 1;
+    return this.history.slice(first).filter((c) => (c.put ?? c.drop ?? '').startsWith(prefix));
+  }
+}
--- /dev/null
+++ b/src/simulation/users.ts
@@ -0,0 +1,204 @@
+/** Users: submit with retries, poll, cancel until it is confirmed, ask again later; and the odd ones among them. */
+import type { Call } from '../http/client.js';
+import type { Millis } from '../units.js';
+import type { EventQueue } from './clock.js';
+import { encodeSubmission, type JobStorage, type UserJob } from './jobs.js';
+import type { LoadBalancer } from './load-balancer.js';
+import type { ExchangeOutcome } from './network.js';
+import type { Observer, UserAnswer, UserRequestKind } from './observer.js';
+import type { RandomStream } from './random.js';
+import type { Trace } from './trace.js';
+
+const SUBMIT_TIMEOUT_MS = 5000;
+const POLL_TIMEOUT_MS = 2000;
+const POLL_GAP_MS = 5000;
+const SUBMIT_FOR_MS = 60_000;
+const RETRY_MS = 1000;
+const LONGEST_RETRY_S = 30;
+/** How many looks at each node, and how far apart, `closeLooks` takes. */
+const LOOKS = 3;
+const LOOK_GAP_MS = 4;
+
+export type UserEvent = 'accepted' | 'cancel_confirmed' | 'job_done';
+
+export interface UsersOptions {
+  readonly controllers: number;
+  readonly onEvent: (event: UserEvent, job: string) => void;
+}
+
+interface Followed {
+  readonly job: UserJob;
+  state: string | null;
+  cancelling: boolean;
+}
+
+export class Users {
+  /** While set, users ask at all nodes at once after each change that they are told of. */
+  closeLooks = false;
+  private readonly followed = new Map<string, Followed>();
+
+  constructor(
+    private readonly queue: EventQueue,
+    private readonly balancer: LoadBalancer,
+    private readonly random: RandomStream,
+    private readonly trace: Trace,
+    private readonly observer: Observer,
+    private readonly storage: JobStorage,
+    private readonly options: UsersOptions,
+  ) {}
+
+  private wait(ms: number): Promise<void> {
+    return new Promise((resolve) => this.queue.after(ms, resolve));
+  }
+
+  private call(kind: UserRequestKind, id: string, body: unknown): Call {
+    const path = kind === 'submit' ? '/v2/runs' : `/v2/runs/${id}${kind === 'cancel' ? '/abort' : ''}`;
+    const timeout = (kind === 'ask' ? POLL_TIMEOUT_MS : SUBMIT_TIMEOUT_MS) as Millis;
+    if (kind === 'ask') return { method: 'GET', path, timeout };
+    return { method: 'POST', path, timeout, body };
+  }
+
+  private async request(
+    kind: UserRequestKind,
+    id: string,
+    options: { body?: unknown; node?: number; odd?: boolean } = {},
+  ): Promise<{ answer: UserAnswer; retryAfterS: number }> {
+    const sentAt = this.queue.now;
+    const call = this.call(kind, id, options.body ?? {});
+    const { node } = options;
+    const outcome: ExchangeOutcome =
+      node === undefined ? await this.balancer.request(call) : await this.balancer.requestAt(node, call);
+    const answered = outcome.kind === 'answer';
+    const answer: UserAnswer = {
+      kind,
+      job: id,
+      sentAt,
+      answeredAt: this.queue.now,
+      status: answered ? outcome.status : null,
+      state: answered ? stateIn(outcome.body) : null,
+      odd: options.odd ?? false,
+    };
+    const where = node === undefined ? '' : ` at n${node}`;
+    this.trace.add(`user ${kind} ${id}${where}: ${answer.status ?? 'no answer'} ${answer.state ?? ''}`);
+    this.observer.answered(answer);
+    this.learn(answer);
+    return { answer, retryAfterS: outcome.retryAfterS ?? 0 };
+  }
+
+  private learn(answer: UserAnswer): void {
+    const job = this.followed.get(answer.job);
+    if (!job || answer.state === null || job.state === 'done' || job.state === 'cancelled') return;
+    const first = job.state === null;
+    job.state = answer.state;
+    if (first) this.tell('accepted', answer.job);
+    if (job.state === 'cancelled') this.tell('cancel_confirmed', answer.job);
+    if (job.state === 'done') this.tell('job_done', answer.job);
+  }
+
+  private tell(event: UserEvent, job: string): void {
+    this.options.onEvent(event, job);
+    if (this.closeLooks) void this.lookClosely(job);
+  }
+
+  /** Asks all nodes, again and again within milliseconds, and repeats the submission. */
+  private async lookClosely(id: string): Promise<void> {
+    const job = this.followed.get(id)?.job;
+    for (let look = 0; look < LOOKS; look += 1) {
+      for (let node = 0; node < this.options.controllers; node += 1) void this.request('ask', id, { node });
+      if (job) {
+        const node = this.random.whole(0, this.options.controllers - 1);
+        void this.request('submit', id, { node, body: encodeSubmission(job) });
+      }
+      await this.wait(LOOK_GAP_MS);
+    }
+  }
+
+  /** The whole life of one job with its user. */
+  async follow(job: UserJob, cancelAfterMs: number | null): Promise<void> {
+    const followed: Followed = { job, state: null, cancelling: false };
+    this.followed.set(job.id, followed);
+    this.storage.jobs.set(job.id, job);
+    this.observer.jobSubmitted(job);
+    if (!(await this.submit(job))) return;
+    if (cancelAfterMs !== null) this.queue.after(cancelAfterMs, () => this.cancel(job.id));
+    while (followed.state !== 'done' && followed.state !== 'cancelled') {
+      await this.wait(POLL_GAP_MS * this.random.between(0.9, 1.1));
+      await this.request('ask', job.id);
+    }
+    for (let again = 0; again < 2; again += 1) {
+      await this.wait(this.random.between(1000, 40_000));
+      await this.request(this.random.chance(0.3) ? 'submit' : 'ask', job.id, { body: encodeSubmission(job) });
+    }
+  }
+
+  private async submit(job: UserJob): Promise<boolean> {
+    const until = this.queue.now + SUBMIT_FOR_MS;
+    while (this.queue.now < until) {
+      const { answer, retryAfterS } = await this.request('submit', job.id, { body: encodeSubmission(job) });
+      if (answer.state !== null) return true;
+      if (answer.status === 400 || answer.status === 422) return false;
+      await this.wait(Math.max(RETRY_MS, Math.min(LONGEST_RETRY_S, retryAfterS) * 1000));
+    }
+    return false;
+  }
+
+  /** Cancels a job, again and again until the answer says cancelled or done. */
+  cancel(id: string): void {
+    const followed = this.followed.get(id);
+    if (!followed || followed.cancelling) return;
+    followed.cancelling = true;
+    this.observer.cancelRequested(id);
+    void this.repeatCancel(followed);
+  }
+
+  private async repeatCancel(followed: Followed): Promise<void> {
+    for (;;) {
+      const { answer, retryAfterS } = await this.request('cancel', followed.job.id);
+      if (answer.state === 'cancelled' || answer.state === 'done') return;
+      await this.wait(Math.max(RETRY_MS, Math.min(LONGEST_RETRY_S, retryAfterS) * 1000));
+    }
+  }
+
+  /** Accepted jobs of which no user has heard the end, in order of submission. */
+  unfinished(): UserJob[] {
+    return [...this.followed.values()]
+      .filter((f) => (f.state === 'pending' || f.state === 'running') && !f.cancelling)
+      .map((f) => f.job);
+  }
+
+  /** One odd request: a repeated submission, a cancellation of a done job, a bad job, or a question about no job. */
+  odd(number: number): void {
+    const done = [...this.followed.values()].filter((f) => f.state === 'done');
+    const open = this.unfinished();
+    const choice = this.random.whole(0, 4);
+    if (choice === 0 && open.length > 0) {
+      const job = this.random.pick(open);
+      void this.request('submit', job.id, { body: encodeSubmission(job) });
+    } else if (choice === 1 && done.length > 0) {
+      void this.request('cancel', this.random.pick(done).job.id);
+    } else if (choice === 2 && open.length > 0) {
+      // A repetition that lacks a field: the job is known, so it may not be refused.
+      const job = this.random.pick(open);
+      void this.request('submit', job.id, { body: without(encodeSubmission(job), 'vcpus') });
+    } else if (choice === 3) this.submitBad(number);
+    else void this.request('ask', `req-nobody${number}`, { odd: true });
+  }
+
+  private submitBad(number: number): void {
+    const any = [...this.followed.values()][0]?.job;
+    if (!any) return;
+    const id = `req-odd${number}`;
+    const plain = encodeSubmission({ ...any, id });
+    const body = this.random.chance(0.5) ? without(plain, 'legs') : { ...plain, vcpus: 1e6, hulls: null };
+    void this.request('submit', id, { body, odd: true });
+  }
+}
+
+function without(body: Record<string, unknown>, field: string): Record<string, unknown> {
+  return Object.fromEntries(Object.entries(body).filter(([name]) => name !== field));
+}
+
+function stateIn(body: unknown): string | null {
+  const state = (body as { status?: unknown } | null)?.status;
+  return typeof state === 'string' ? state : null;
+}
--- /dev/null
+++ b/test/simulation.test.ts
@@ -0,0 +1,641 @@
+/** The simulator: determinism, scenario errors, a judge that finds each broken rule, shrinking, and a short fuzz. */
+import assert from 'node:assert/strict';
+import { readdirSync, readFileSync } from 'node:fs';
+import { test } from 'node:test';
+import { fileURLToPath } from 'node:url';
+import { EventQueue, Host } from '../src/simulation/clock.js';
+import type { Defect } from '../src/simulation/defects.js';
+import { fuzzOne } from '../src/simulation/fuzz-run.js';
+import { randomScenario } from '../src/simulation/generate.js';
+import type { UserJob } from '../src/simulation/jobs.js';
+import { Judge, RULES, type MachineView, type Rule } from '../src/simulation/judge.js';
+import { Network, type CutMode } from '../src/simulation/network.js';
+import type { MachineFacts, UserAnswer } from '../src/simulation/observer.js';
+import { RandomStream } from '../src/simulation/random.js';
+import {
+  checkScenario,
+  formatScenario,
+  parseScenario,
+  ScenarioError,
+  type FaultInput,
+  type Scenario,
+  type ScenarioInput,
+} from '../src/simulation/scenario.js';
+import { shrink } from '../src/simulation/shrink.js';
+import { Simulation, type SimulationResult } from '../src/simulation/simulation.js';
+
+const SCENARIOS = fileURLToPath(new URL('../../scenarios/', import.meta.url));
+
+const smallInput = (changes: Partial<ScenarioInput> = {}): ScenarioInput => ({
+  name: 'small',
+  seed: 1,
+  duration_s: 45,
+  deployment: {
+    zones: ['fjord', 'ridge'],
+    controllers: ['fjord', 'ridge', 'fjord'],
+    types: [{ name: 'birch', cpus: 8, memory_gb: 32 }],
+    teams: [{ name: 'atlas', cpus: 40, cpus_max: 400 }],
+    machines: ['fjord', 'ridge'].map((zone) => ({ type: 'birch', zone, count: 6 })),
+  },
+  load: [
+    {
+      class: 'batch',
+      team: 'atlas',
+      tasks: [1, 3],
+      cpus: 1,
+      run_s: [15, 25],
+      image_gb: 0.1,
+      per_minute: 120,
+    },
+  ],
+  ...changes,
+});
+
+const small = (changes: Partial<ScenarioInput> = {}): Scenario => checkScenario(smallInput(changes), 'small');
+
+const run = (scenario: Scenario, defects: Defect[] = [], stopAt: Rule[] = []): Promise<SimulationResult> =>
+  new Simulation(scenario, { seed: scenario.seed, defects, stopAt }).run();
+
+const brokenRules = (result: SimulationResult): Rule[] => [...new Set(result.violations.map((v) => v.rule))];
+
+test('the same scenario and seed give the same history, another seed another one', async () => {
+  const scenario = randomScenario(11, null);
+  const short = { ...scenario, duration_s: 60 };
+  const [first, second] = [await run(short), await run(short)];
+  assert.ok(first.events > 1000);
+  assert.equal(first.hash, second.hash);
+  assert.equal(first.events, second.events);
+  const other = await new Simulation(short, { seed: 12 }).run();
+  assert.notEqual(first.hash, other.hash);
+});
+
+test('every example scenario runs, with its faults and without a broken rule', async () => {
+  const files = readdirSync(SCENARIOS).filter((f) => f.endsWith('.toml'));
+  assert.ok(files.length >= 5);
+  for (const file of files) {
+    const scenario = parseScenario(readFileSync(`${SCENARIOS}${file}`, 'utf8'), file);
+    const result = await run(scenario);
+    assert.deepEqual(result.violations, [], file);
+    assert.equal(result.figures['faultsBegun'], scenario.faults.length, file);
+    assert.ok((result.figures['done'] ?? 0) > 10, `${file}: jobs end`);
+  }
+});
+
+test('a scenario that cannot be run is refused in one line that names the field', () => {
+  const text = (s: ScenarioInput): string => formatScenario(s as Scenario);
+  const expectError = (file: string, pattern: RegExp): void =>
+    assert.throws(
+      () => parseScenario(file, 'a.toml'),
+      (e: unknown) => e instanceof ScenarioError && pattern.test(e.message),
+      String(pattern),
+    );
+  const fault = (f: object): string => text(smallInput({ faults: [f as FaultInput] }));
+  expectError('name = ', /^a\.toml:1:8: expected valid TOML: .+$/);
+  expectError('seed = 1', /^a\.toml: name: expected a value, got nothing$/);
+  expectError(text(smallInput({ duration_s: -1 })), /duration_s: expected more than 0, got -1/);
+  expectError(fault({ kind: 'earthquake' }), /faults\[0\]\.kind: expected .*got "earthquake"/);
+  expectError(
+    fault({ kind: 'state_outage', at_s: 'soon' }),
+    /faults\[0\]\.at_s: expected a number, got "soon"/,
+  );
+  expectError(fault({ kind: 'state_outage', nodes: 3 }), /faults\[0\]\.nodes: expected no such field/);
+  expectError(
+    fault({ kind: 'zone_cut', zone: 'delta' }),
+    /faults\[0\]\.zone: expected one of fjord, ridge, got "delta"/,
+  );
+  expectError(fault({ kind: 'node_cut', node: 9 }), /faults\[0\]\.node: expected less than 3/);
+  expectError(
+    fault({ kind: 'state_outage', key: 'c/' }),
+    /faults\[0\]\.key: expected only with on = "commit"/,
+  );
+  const hasty = { ...smallInput().deployment, cancel_s: 5 };
+  expectError(text(smallInput({ deployment: hasty })), /deployment\.cancel_s: expected more than lease_s/);
+  const stranger = smallInput();
+  const load = stranger.load.map((l) => ({ ...l, team: 'nobody' }));
+  expectError(text({ ...stranger, load }), /load\[0\]\.team: expected one of atlas, got "nobody"/);
+});
+
+test('a scenario written as a file reads back as it was', () => {
+  for (let seed = 1; seed <= 200; seed += 1) {
+    const scenario = randomScenario(seed, null);
+    assert.deepEqual(parseScenario(formatScenario(scenario), 'copy'), scenario);
+  }
+});
+
+/** A judge of its own with a clock, and what a broken history is made of. */
+class Bench {
+  readonly queue = new EventQueue();
+  machines: MachineView[] = [];
+  readonly judge = new Judge(this.queue, {
+    teams: [{ name: 'atlas', cpusMax: 8, gpusMax: 0 }],
+    cancelS: 30,
+    machines: () => this.machines,
+  });
+
+  machine(id: string, facts: Partial<MachineFacts> = {}): MachineFacts {
+    return { id, type: 'birch', zone: 'fjord', spot: false, cpus: 8, gpus: 0, memoryGb: 32, ...facts };
+  }
+
+  submit(changes: Partial<UserJob> = {}): void {
+    this.judge.jobSubmitted({
+      id: 'req-1',
+      class: 'batch',
+      team: 'atlas',
+      shape: 'array',
+      priority: 'standard',
+      tasks: 2,
+      cpus: 2,
+      gpus: 0,
+      memoryGb: 1,
+      types: null,
+      zone: null,
+      sameZone: false,
+      spread: false,
+      spot: false,
+      image: 'i',
+      imageGb: 1,
+      estimateS: 10,
+      checkpointS: 0,
+      saveS: 0,
+      runS: 10,
+      ...changes,
+    });
+  }
+
+  answer(
+    kind: UserAnswer['kind'],
+    status: number | null,
+    state: string | null,
+    more: Partial<UserAnswer> = {},
+  ): void {
+    const { now } = this.queue;
+    this.judge.answered({
+      kind,
+      job: 'req-1',
+      sentAt: now,
+      answeredAt: now,
+      status,
+      state,
+      odd: false,
+      ...more,
+    });
+  }
+
+  rules(): Rule[] {
+    return this.judge.violations.map((v) => v.rule);
+  }
+}
+
+type History = (b: Bench) => void | Promise<void>;
+
+/** For each rule histories that break it, and next to them one that does not. */
+const HISTORIES: readonly { rule: Rule; name: string; broken: History; sound: History }[] = [
+  {
+    rule: 'ran_twice',
+    name: 'a task starts on a second machine',
+    broken: (b) => {
+      b.submit();
+      b.judge.taskStarted(b.machine('m-1'), 'req-1/0');
+      b.judge.taskStarted(b.machine('m-2'), 'req-1/0');
+    },
+    sound: (b) => {
+      b.submit();
+      b.judge.taskStarted(b.machine('m-1'), 'req-1/0');
+      b.judge.taskEnded(b.machine('m-1'), 'req-1/0', false);
+      b.judge.taskStarted(b.machine('m-2'), 'req-1/0');
+    },
+  },
+  {
+    rule: 'quota',
+    name: 'a team uses 10 CPUs of 8',
+    broken: (b) => {
+      b.submit({ cpus: 5 });
+      b.judge.taskStarted(b.machine('m-1'), 'req-1/0');
+      b.judge.taskStarted(b.machine('m-2'), 'req-1/1');
+    },
+    sound: (b) => {
+      b.submit({ cpus: 4 });
+      b.judge.taskStarted(b.machine('m-1'), 'req-1/0');
+      b.judge.taskStarted(b.machine('m-2'), 'req-1/1');
+    },
+  },
+  {
+    rule: 'wrong_place',
+    name: 'another type',
+    broken: (b) => {
+      b.submit({ types: ['spruce'] });
+      b.judge.taskStarted(b.machine('m-1'), 'req-1/0');
+    },
+    sound: (b) => {
+      b.submit({ types: ['birch'] });
+      b.judge.taskStarted(b.machine('m-1'), 'req-1/0');
+    },
+  },
+  {
+    rule: 'wrong_place',
+    name: 'another zone',
+    broken: (b) => {
+      b.submit({ zone: 'ridge' });
+      b.judge.taskStarted(b.machine('m-1'), 'req-1/0');
+    },
+    sound: (b) => {
+      b.submit({ zone: 'fjord' });
+      b.judge.taskStarted(b.machine('m-1'), 'req-1/0');
+    },
+  },
+  {
+    rule: 'wrong_place',
+    name: 'a spot machine',
+    broken: (b) => {
+      b.submit();
+      b.judge.taskStarted(b.machine('m-1', { spot: true }), 'req-1/0');
+    },
+    sound: (b) => {
+      b.submit({ spot: true });
+      b.judge.taskStarted(b.machine('m-1', { spot: true }), 'req-1/0');
+    },
+  },
+  {
+    rule: 'wrong_place',
+    name: 'two zones for a job of one',
+    broken: (b) => {
+      b.submit({ sameZone: true });
+      b.judge.taskStarted(b.machine('m-1'), 'req-1/0');
+      b.judge.taskStarted(b.machine('m-2', { zone: 'ridge' }), 'req-1/1');
+    },
+    sound: (b) => {
+      b.submit({ sameZone: true });
+      b.judge.taskStarted(b.machine('m-1'), 'req-1/0');
+      b.judge.taskEnded(b.machine('m-1'), 'req-1/0', true);
+      b.judge.taskStarted(b.machine('m-2', { zone: 'ridge' }), 'req-1/1');
+    },
+  },
+  {
+    rule: 'wrong_place',
+    name: 'more than half of a spread job in one zone',
+    broken: (b) => {
+      b.submit({ spread: true });
+      b.judge.taskStarted(b.machine('m-1'), 'req-1/0');
+      b.judge.taskStarted(b.machine('m-2'), 'req-1/1');
+    },
+    sound: (b) => {
+      b.submit({ spread: true });
+      b.judge.taskStarted(b.machine('m-1'), 'req-1/0');
+      b.judge.taskStarted(b.machine('m-2', { zone: 'ridge' }), 'req-1/1');
+    },
+  },
+  {
+    rule: 'ran_cancelled',
+    name: 'a task stays after its job was cancelled',
+    broken: async (b) => {
+      b.submit();
+      b.judge.taskStarted(b.machine('m-1'), 'req-1/0');
+      b.judge.cancelRequested('req-1');
+      b.answer('cancel', 200, 'cancelled');
+      await b.queue.run(31_000);
+    },
+    sound: async (b) => {
+      b.submit();
+      b.judge.taskStarted(b.machine('m-1'), 'req-1/0');
+      b.judge.cancelRequested('req-1');
+      b.answer('cancel', 200, 'cancelled');
+      await b.queue.run(29_000);
+      b.judge.taskEnded(b.machine('m-1'), 'req-1/0', false);
+      await b.queue.run(31_000);
+    },
+  },
+  {
+    rule: 'ran_cancelled',
+    name: 'a task starts long after its job was cancelled',
+    broken: async (b) => {
+      b.submit();
+      b.judge.cancelRequested('req-1');
+      b.answer('cancel', 200, 'cancelled');
+      await b.queue.run(31_000);
+      b.judge.taskStarted(b.machine('m-1'), 'req-1/0');
+    },
+    sound: (b) => {
+      b.submit();
+      b.judge.taskStarted(b.machine('m-1'), 'req-1/0');
+    },
+  },
+  {
+    rule: 'forgotten',
+    name: 'an accepted job gets 404',
+    broken: (b) => {
+      b.submit();
+      b.answer('submit', 201, 'pending');
+      b.answer('ask', 404, null);
+    },
+    sound: (b) => {
+      b.submit();
+      b.answer('ask', 404, null);
+      b.answer('submit', 201, 'pending');
+    },
+  },
+  {
+    rule: 'forgotten',
+    name: 'an accepted job is refused when it is submitted again',
+    broken: (b) => {
+      b.submit();
+      b.answer('submit', 201, 'pending');
+      b.answer('submit', 422, null);
+    },
+    sound: (b) => {
+      b.submit();
+      b.answer('submit', 422, null);
+    },
+  },
+  {
+    rule: 'forgotten',
+    name: 'every question about a job fails for 90 s while others are answered',
+    broken: (b) => pollsOfTwoJobs(b, () => null),
+    sound: (b) => pollsOfTwoJobs(b, (at) => (at === 60_000 ? 200 : null)),
+  },
+  {
+    rule: 'forgotten',
+    name: 'no question is answered for 75 s after all faults',
+    broken: (b) => pollsInQuiet(b, 80_000),
+    sound: (b) => pollsInQuiet(b, 70_000),
+  },
+  {
+    rule: 'invented',
+    name: 'a job that nobody submitted gets 200',
+    broken: (b) => b.answer('ask', 200, 'running'),
+    sound: (b) => b.answer('ask', 404, null),
+  },
+  {
+    rule: 'not_done',
+    name: 'a job is called done before its last task',
+    broken: (b) => {
+      b.submit();
+      complete(b, 1);
+      b.answer('ask', 200, 'done');
+    },
+    sound: (b) => {
+      b.submit();
+      complete(b, 2);
+      b.answer('ask', 200, 'done');
+    },
+  },
+  {
+    rule: 'went_back',
+    name: 'a job called done is later called running',
+    broken: async (b) => {
+      b.submit();
+      complete(b, 2);
+      b.answer('ask', 200, 'done');
+      await b.queue.run(10);
+      b.answer('ask', 200, 'running');
+    },
+    sound: async (b) => {
+      b.submit();
+      complete(b, 2);
+      await b.queue.run(10);
+      b.answer('ask', 200, 'done');
+      // Asked before the other answer came: it may say what was so then.
+      b.answer('ask', 200, 'running', { sentAt: 5 });
+    },
+  },
+  {
+    rule: 'went_back',
+    name: 'a job that nobody cancelled is called cancelled',
+    broken: (b) => {
+      b.submit();
+      b.answer('ask', 200, 'cancelled');
+    },
+    sound: (b) => {
+      b.submit();
+      b.judge.cancelRequested('req-1');
+      b.answer('ask', 200, 'cancelled');
+    },
+  },
+  {
+    rule: 'nothing_ran',
+    name: 'no task is started at all',
+    broken: (b) => {
+      b.submit();
+      b.answer('submit', 201, 'pending');
+      b.judge.finish();
+    },
+    sound: (b) => {
+      b.submit();
+      b.answer('submit', 201, 'pending');
+      b.judge.taskStarted(b.machine('m-1'), 'req-1/0');
+      b.judge.finish();
+    },
+  },
+  {
+    rule: 'left_waiting',
+    name: 'a job waits while there is room',
+    broken: (b) => waitsBesideRoom(b, 2),
+    sound: (b) => waitsBesideRoom(b, 1),
+  },
+];
+
+function complete(b: Bench, tasks: number): void {
+  for (let i = 0; i < tasks; i += 1) {
+    b.judge.taskStarted(b.machine('m-1'), `req-1/${i}`);
+    b.judge.taskEnded(b.machine('m-1'), `req-1/${i}`, true);
+  }
+}
+
+async function pollsOfTwoJobs(b: Bench, status: (at: number) => number | null): Promise<void> {
+  b.submit();
+  b.submit({ id: 'req-2' });
+  b.answer('submit', 201, 'pending');
+  for (let at = 5000; at <= 110_000; at += 5000) {
+    await b.queue.run(at);
+    b.answer('ask', status(at), status(at) === null ? null : 'pending');
+    b.answer('ask', 200, 'pending', { job: 'req-2' });
+    b.answer('ask', 200, 'pending', { job: 'req-2' });
+  }
+}
+
+async function pollsInQuiet(b: Bench, until: number): Promise<void> {
+  b.submit();
+  b.answer('submit', 201, 'pending');
+  b.judge.troubles(true);
+  b.answer('ask', null, null);
+  await b.queue.run(until);
+}
+
+/** The machine next to it has room for that many CPUs; the job's tasks take two. */
+async function waitsBesideRoom(b: Bench, cpus: number): Promise<void> {
+  b.submit();
+  b.answer('submit', 201, 'pending');
+  b.judge.troubles(true);
+  b.machines = [{ facts: b.machine('m-1'), free: { cpus, gpus: 0, memoryGb: 8 }, holds: [] }];
+  await b.queue.run(100_000);
+}
+
+test('the judge finds each broken rule in a history that breaks it, and nothing in its neighbour', async () => {
+  for (const { rule, name, broken, sound } of HISTORIES) {
+    const bad = new Bench();
+    await broken(bad);
+    assert.deepEqual(bad.rules(), [rule], name);
+    const good = new Bench();
+    await sound(good);
+    assert.deepEqual(good.rules(), [], `next to: ${name}`);
+  }
+  assert.deepEqual(new Set(HISTORIES.map((h) => h.rule)), new Set(RULES), 'every rule has a history');
+});
+
+const LATE: FaultInput = { kind: 'late_commands', at_s: 8, for_s: 30, share: 0.8 };
+const shortLease = { ...smallInput().deployment, lease_s: 6 };
+const cancelled = smallInput().load.map((l) => ({
+  ...l,
+  cancel_share: 0.5,
+  cancel_after_s: [2, 5] as [number, number],
+}));
+
+const long = cancelled.map((l) => ({ ...l, run_s: [80, 90] as [number, number], per_minute: 30 }));
+
+/** Faults of the model that the controllers cannot answer for, and the rule that breaks with them. */
+const DEFECTS: readonly { defect: Defect; rule: Rule; scenario: Scenario }[] = [
+  { defect: 'state-ignores-conditions', rule: 'forgotten', scenario: small({ load: cancelled }) },
+  { defect: 'state-watch-loses-deletions', rule: 'went_back', scenario: small({ load: cancelled }) },
+  {
+    defect: 'worker-ignores-tokens',
+    rule: 'ran_twice',
+    scenario: small({
+      faults: [
+        LATE,
+        { kind: 'all_controllers_end', at_s: 14, restart_s: 0.3 },
+        { kind: 'all_controllers_end', at_s: 22, restart_s: 0.3 },
+      ],
+    }),
+  },
+  {
+    defect: 'worker-ignores-sessions',
+    rule: 'ran_twice',
+    scenario: small({
+      deployment: shortLease,
+      faults: [
+        { ...LATE, share: 0.9 },
+        { kind: 'machine_mute', at_s: 9, for_s: 25, share: 0.6 },
+      ],
+    }),
+  },
+  {
+    defect: 'worker-ignores-its-lease',
+    rule: 'ran_twice',
+    scenario: small({
+      deployment: shortLease,
+      faults: [{ kind: 'machine_cut', at_s: 12, for_s: 30, share: 0.5, mode: 'drop' }],
+    }),
+  },
+  { defect: 'worker-ignores-stops', rule: 'ran_cancelled', scenario: small({ load: long }) },
+  { defect: 'worker-reports-nothing', rule: 'ran_twice', scenario: small() },
+  { defect: 'worker-claims-done', rule: 'not_done', scenario: small() },
+];
+
+test('with a defect in the model the judge finds the rule that breaks; without it nothing is broken', async () => {
+  for (const { defect, rule, scenario } of DEFECTS) {
+    assert.deepEqual(brokenRules(await run(scenario)), [], `without ${defect}`);
+    const found = brokenRules(await run(scenario, [defect], [rule]));
+    assert.ok(found.includes(rule), `${defect}: ${rule} expected, found ${found.join(', ') || 'nothing'}`);
+  }
+});
+
+test('a job that asks for one zone and to be spread breaks neither promise', async () => {
+  const load: ScenarioInput['load'] = [
+    {
+      class: 'pair',
+      team: 'atlas',
+      shape: 'service',
+      tasks: [2, 4],
+      at_start: 4,
+      same_zone: true,
+      spread: true,
+    },
+  ];
+  const result = await run(small({ load, duration_s: 40 }));
+  assert.ok((result.figures['starts'] ?? 0) > 0);
+  assert.deepEqual(result.violations, []);
+});
+
+/** What arrives, and how each request ends, when a cut of this kind comes between two of them. */
+async function throughCut(mode: CutMode): Promise<{ arrived: number[]; outcomes: string[] }> {
+  const queue = new EventQueue();
+  const options = { sameZoneMs: 1, crossZoneMs: 1, jitter: 0, loss: 0 };
+  const network = new Network(queue, options, new RandomStream(1));
+  const [from, to] = [new Host('n0', 'fjord', queue), new Host('n1', 'fjord', queue)];
+  const arrived: number[] = [];
+  const outcomes: string[] = [];
+  const ask = (): void => {
+    const serve = (reply: (r: { status: number; body: unknown }) => void): void => {
+      arrived.push(Math.round(queue.now));
+      reply({ status: 200, body: {} });
+    };
+    void network.exchange({ from, to, timeoutMs: 1000, serve }).then((o) => outcomes.push(o.kind));
+  };
+  const cut = { mode, blocks: (): boolean => true };
+  ask();
+  queue.after(100, () => network.cut(cut));
+  // On the connection that stands, then one for which a new connection is needed.
+  queue.after(200, ask);
+  queue.after(2000, ask);
+  queue.after(5000, () => network.heal(cut));
+  await queue.run(10_000);
+  return { arrived, outcomes };
+}
+
+test('a cut drops, holds or refuses: what was sent may arrive late, an attempt to connect never does', async () => {
+  const held = await throughCut('hold');
+  assert.deepEqual(held, { arrived: [3, 5001], outcomes: ['answer', 'unknown', 'unsent'] });
+  const dropped = await throughCut('drop');
+  assert.deepEqual(dropped, { arrived: [3], outcomes: ['answer', 'unknown', 'unsent'] });
+  const refused = await throughCut('refuse');
+  assert.deepEqual(refused, { arrived: [3], outcomes: ['answer', 'unknown', 'unsent'] });
+});
+
+test('shrinking keeps the faults without which the rule holds, and the shortest run', async () => {
+  const faults: FaultInput[] = [
+    { kind: 'state_outage', at_s: 10, for_s: 20 },
+    { kind: 'close_looks', at_s: 11, for_s: 20 },
+    { kind: 'machine_end', at_s: 12, count: 1 },
+    { kind: 'odd_requests', at_s: 13, for_s: 20 },
+  ];
+  const needs = (s: Scenario, kind: string): boolean => s.faults.some((f) => f.kind === kind);
+  const trial = (s: Scenario): Promise<number | null> =>
+    Promise.resolve(needs(s, 'machine_end') && needs(s, 'state_outage') ? 30 : null);
+  const result = await shrink(small({ faults }), trial);
+  assert.deepEqual(
+    result.faults.map((f) => f.kind),
+    ['state_outage', 'machine_end'],
+  );
+  assert.ok(result.duration_s <= 31);
+  const outage = result.faults[0];
+  assert.ok(outage && 'for_s' in outage && outage.for_s < 2, 'what need not last is shortened');
+});
+
+test('a break in a real run is shrunk to a file that replays exactly', async () => {
+  const defects: Defect[] = ['worker-ignores-tokens'];
+  const faults: FaultInput[] = [
+    LATE,
+    { kind: 'cloud_outage', at_s: 9, for_s: 10 },
+    { kind: 'all_controllers_end', at_s: 14, restart_s: 0.3 },
+    { kind: 'all_controllers_end', at_s: 22, restart_s: 0.3 },
+    { kind: 'close_looks', at_s: 10, for_s: 10 },
+  ];
+  const trial = async (s: Scenario): Promise<number | null> => {
+    const result = await new Simulation(s, { seed: s.seed, defects, stopAt: ['ran_twice'] }).run();
+    return result.violations.find((v) => v.rule === 'ran_twice')?.atS ?? null;
+  };
+  const shrunk = await shrink(small({ faults }), trial);
+  assert.deepEqual([...new Set(shrunk.faults.map((f) => f.kind))], ['late_commands', 'all_controllers_end']);
+  const replayed = parseScenario(formatScenario(shrunk), 'finding');
+  const [first, second] = [await run(shrunk, defects), await run(replayed, defects)];
+  assert.deepEqual(brokenRules(first), ['ran_twice']);
+  assert.equal(first.hash, second.hash);
+});
+
+test('a short fuzz from fixed seeds breaks no rule of safety', async () => {
+  const safety = RULES.filter((r) => r !== 'left_waiting');
+  for (let seed = 101; seed <= 104; seed += 1) {
+    const outcome = await fuzzOne(seed, null, safety);
+    assert.equal(outcome.error, null);
+    assert.deepEqual(outcome.finding, null, `seed ${seed}`);
+  }
+});
