Announced room is not reduced by tasks that must be in another zone

Cause: offerOf took room off an announcement for every task that waits at home, also for those pinned to another zone or to none (the third task of a spread job in a deployment of one zone). Change: what waits is counted by the zone that it must be in.

--- a/src/flock/news.ts
+++ b/src/flock/news.ts
@@ -1,8 +1,9 @@
 /** The controllers' messages to each other: what is free, what runs, who asks for a share of a limit. */
 import * as v from 'valibot';
 import type { Core } from '../core.js';
-import { roomOn, type Machine, type Part, type Room } from '../parts/model.js';
+import { roomOn, type Machine, type Part, type PartJob, type Room } from '../parts/model.js';
 import { usable } from '../placement/round.js';
+import { RangeSet } from '../ranges.js';
 import type {
   ImageId,
   Incarnation,
@@ -87,11 +88,26 @@
     machines: [...shapes.values()],
   };
   // What waits for its team's limit takes no room: others may have it meanwhile.
-  for (const job of part.queue)
-    if (!part.limited.has(job.spec.team)) reserve(offer, job.spec, null, job.waiting.size);
+  for (const job of part.queue) {
+    if (part.limited.has(job.spec.team)) continue;
+    for (const [zone, count] of waitingByZone(job)) reserve(offer, job.spec, zone, count);
+  }
   return offer;
 }
 
+/** How many of a job's tasks wait for each zone; what waits for another zone takes no room in this one. */
+function waitingByZone(job: PartJob): Map<ZoneId | null, number> {
+  const zones = new Set(job.record.assignments.map((a) => a.zone));
+  if (zones.size === 1) return new Map([...zones].map((zone) => [zone, job.waiting.size]));
+  const counts = new Map<ZoneId | null, number>();
+  for (const zone of zones) {
+    const inZone = job.record.assignments.filter((a) => a.zone === zone);
+    const ranges = RangeSet.of(inZone.map((a) => [a.from, a.to] as const));
+    counts.set(zone, job.waiting.intersect(ranges).size);
+  }
+  return counts;
+}
+
 /** CPUs that critical work could have at once on machines with the image, lesser work making room. */
 export function readyImages(core: Core, part: Part): Map<ImageId, number> {
   const out = new Map<ImageId, number>();
--- a/test/simulation.test.ts
+++ b/test/simulation.test.ts
@@ -555,6 +555,34 @@
   assert.deepEqual(result.violations, []);
 });
 
+test('room is not kept for tasks that must be in another zone, or in none: a peer may use it', async () => {
+  // In one zone the third task of a spread job must stay away; what its controller has room for is another's.
+  const deployment: ScenarioInput['deployment'] = {
+    ...smallInput().deployment,
+    zones: ['fjord'],
+    controllers: ['fjord', 'fjord'],
+    cloud: { capacity: 0 },
+    machines: [{ type: 'birch', zone: 'fjord', count: 2 }],
+  };
+  const load: ScenarioInput['load'] = [
+    {
+      class: 'pair',
+      team: 'atlas',
+      shape: 'service',
+      priority: 'critical',
+      tasks: [2, 3],
+      cpus: 2,
+      at_start: 3,
+      spread: true,
+    },
+  ];
+  const faults: FaultInput[] = [{ kind: 'machine_end', at_s: 20, count: 1 }];
+  for (const seed of [1, 5, 12, 26]) {
+    const result = await run(small({ seed, duration_s: 130, deployment, load, faults }));
+    assert.deepEqual(result.violations, [], `seed ${seed}`);
+  }
+});
+
 /** What arrives, and how each request ends, when a cut of this kind comes between two of them. */
 async function throughCut(mode: CutMode): Promise<{ arrived: number[]; outcomes: string[] }> {
   const queue = new EventQueue();
