A task pinned to no zone does not stop the hand-over of unpinned ones

Cause: the key by which refused hand-overs are remembered joined its fields to a text, in which the pin to no zone ('') reads like no pin (null). Change: the key is JSON.

--- a/src/flock/overflow.ts
+++ b/src/flock/overflow.ts
@@ -22,8 +22,9 @@
   readonly value: unknown;
 }
 
+/** As JSON: pinned to no zone ('') is not the same as not pinned (null). */
 const shapeOf = (s: JobSpec, pin: ZoneId | null): string =>
-  [s.cpus, s.gpus, s.memoryGb, s.spot, s.zone, pin, s.types?.join()].join('/');
+  JSON.stringify([s.cpus, s.gpus, s.memoryGb, s.spot, s.zone, pin, s.types]);
 
 /** Pure choice: what to hand to whom. Takes the promised room off the offer. */
 export function chooseHandOver(
--- a/test/simulation.test.ts
+++ b/test/simulation.test.ts
@@ -583,6 +583,33 @@
   }
 });
 
+test('a task that no zone may take does not keep others of its size from being handed to a peer', async () => {
+  const deployment: ScenarioInput['deployment'] = {
+    ...smallInput().deployment,
+    zones: ['fjord'],
+    controllers: ['fjord', 'fjord'],
+    cloud: { capacity: 0 },
+    machines: [{ type: 'birch', zone: 'fjord', count: 2 }],
+  };
+  const all = { team: 'atlas', cpus: 2 };
+  const load: ScenarioInput['load'] = [
+    {
+      ...all,
+      class: 'pair',
+      shape: 'service',
+      priority: 'critical',
+      tasks: [4, 4],
+      at_start: 1,
+      spread: true,
+    },
+    { ...all, class: 'lone', run_s: [300, 300], at_start: 5 },
+  ];
+  for (const seed of [1, 11, 16, 27]) {
+    const result = await run(small({ seed, duration_s: 130, deployment, load }));
+    assert.deepEqual(result.violations, [], `seed ${seed}`);
+  }
+});
+
 /** What arrives, and how each request ends, when a cut of this kind comes between two of them. */
 async function throughCut(mode: CutMode): Promise<{ arrived: number[]; outcomes: string[] }> {
   const queue = new EventQueue();
