Tasks whose hand-over is refused are queued again

Cause: while all waiting tasks of a job are being handed to a peer, a placement round takes the job off the part's queue. Change: takeBack queues the job.

--- a/src/flock/overflow.ts
+++ b/src/flock/overflow.ts
@@ -120,5 +120,7 @@
       if (ours && !job.record.done.has(i) && !job.finished.has(i)) job.waiting.add(i);
     }
     job.moving.removeAll(job.moving.clone());
+    // A round that saw nothing of it waiting, while all of it was moving, has taken it off the queue.
+    if (!job.waiting.isEmpty) part.queue.add(job);
   }
 }
--- a/test/simulation.test.ts
+++ b/test/simulation.test.ts
@@ -3,6 +3,14 @@
 import { readdirSync, readFileSync } from 'node:fs';
 import { test } from 'node:test';
 import { fileURLToPath } from 'node:url';
+import type { Core } from '../src/core.js';
+import { Overflow } from '../src/flock/overflow.js';
+import type { JobRecord } from '../src/jobs/record.js';
+import { silentLog } from '../src/log.js';
+import { Part, syncJob, type PartJob } from '../src/parts/model.js';
+import { planRound } from '../src/placement/plan.js';
+import type { PlanContext } from '../src/placement/round.js';
+import { RangeSet } from '../src/ranges.js';
 import { EventQueue, Host } from '../src/simulation/clock.js';
 import type { Defect } from '../src/simulation/defects.js';
 import { fuzzOne } from '../src/simulation/fuzz-run.js';
@@ -23,6 +31,8 @@
 } from '../src/simulation/scenario.js';
 import { shrink } from '../src/simulation/shrink.js';
 import { Simulation, type SimulationResult } from '../src/simulation/simulation.js';
+import type { PartId, SteadyMs } from '../src/units.js';
+import { plainSpec } from './standins/spec.js';
 
 const SCENARIOS = fileURLToPath(new URL('../../scenarios/', import.meta.url));
 
@@ -610,6 +620,37 @@
   }
 });
 
+test('tasks whose hand-over is refused are placed again, also when a round came while they were moving', async () => {
+  const part = new Part(0 as PartId, 1 as never, 1 as never, 0 as SteadyMs, new Map());
+  part.accounted = true;
+  const spec = plainSpec({ id: 'req-1', tasks: 2 });
+  const assignments = [{ from: 0, to: 2, part: part.id, zone: null }];
+  const record = { spec, home: 0, assignments, done: RangeSet.empty() } as unknown as JobRecord;
+  syncJob(part, record, 1 as never, 0 as SteadyMs, false);
+  const job = part.jobs.get(spec.id) as PartJob;
+  const machines = [{ type: 't', zone: 'fjord', spot: false, cpus: 64, gpus: 0, memoryGb: 64, count: 1 }];
+  let answer: (result: { kind: 'refused' }) => void = () => undefined;
+  const core = {
+    settings: { parts: [], zone: 'fjord', valueBytes: 1000 },
+    offers: new Map([[1, { part: 1, zone: 'fjord', expires: 99_000, machines }]]),
+    random: () => 0,
+    clock: { now: () => 10_000 },
+    log: silentLog(),
+    ownerCondition: () => ({ key: 'c/parts/0', version: 1 }),
+    settle: () => new Promise((resolve) => (answer = resolve)),
+    exclusive: (work: () => unknown) => Promise.resolve(work()),
+    wake: () => undefined,
+  };
+  const overflow = new Overflow(core as unknown as Core);
+  overflow.consider(part, [{ job, reason: 'room', indices: 'all' }]);
+  assert.equal(job.moving.size, 2);
+  planRound(part, { now: 10_000 } as unknown as PlanContext);
+  answer({ kind: 'refused' });
+  await new Promise((resolve) => setImmediate(resolve));
+  assert.equal(job.waiting.size, 2);
+  assert.ok(part.queue.has(job), 'the next round sees it');
+});
+
 /** What arrives, and how each request ends, when a cut of this kind comes between two of them. */
 async function throughCut(mode: CutMode): Promise<{ arrived: number[]; outcomes: string[] }> {
   const queue = new EventQueue();
