--- a/src/flock/repin.ts
+++ b/src/flock/repin.ts
@@ -48,7 +48,8 @@
   return Math.min(...record.assignments.map((a) => a.part)) as PartId;
 }
 
-const mayMove = (spec: JobSpec): boolean => spec.zone === null && (spec.spread || spec.oneZone);
+/** A job that asks both for one zone and to be spread stays where it was put: half of it, in one zone. */
+const mayMove = (spec: JobSpec): boolean => spec.zone === null && spec.spread !== spec.oneZone;
 
 /** The best move for the tasks that wait in `stuck`, or null: nowhere else is room that the job may use. */
 export function chooseRepin(part: PartId, job: PartJob, stuck: ZoneId, ctx: RepinContext): Repin | null {
