--- a/test/standins/state.ts
+++ b/test/standins/state.ts
@@ -87,7 +87,7 @@
   slow: (body: TxnBody) => number = () => 0;
   /** Decides the fate of a transaction: lose its answer, or hold it back for some milliseconds. */
   fate: (node: string, body: TxnBody) => 'normal' | 'lose-answer' | { holdMs: number } = () => 'normal';
-  /** How much later than it is carried out a request (watches aside) is answered. */
+  /** How much later than it is carried out a request is answered. */
   answerDelay: (node: string, call: Call) => number = () => 0;
   /** Called with every transaction that has just changed something, before its answer is on its way. */
   applied: (body: TxnBody) => void = () => undefined;
@@ -134,7 +134,7 @@
 
   async call(node: string, call: Call): Promise<Outcome> {
     const outcome = await this.serve(node, call);
-    const delay = call.path.startsWith('/follow') ? 0 : this.answerDelay(node, call);
+    const delay = this.answerDelay(node, call);
     if (delay > 0) await this.clock.sleep(Math.min(delay, call.timeout));
     return delay < call.timeout ? outcome : { kind: 'unknown' };
   }
--- a/test/user-meetings.test.ts
+++ b/test/user-meetings.test.ts
@@ -10,7 +10,7 @@
 import type { Revision, StateKey, SteadyMs } from '../src/units.js';
 import type { TxnBody } from './standins/state.js';
 import { Users, type Told } from './standins/users.js';
-import { World, type JobOptions } from './standins/world.js';
+import { SMALL, World, type JobOptions, type Shape } from './standins/world.js';
 
 const NODES = [0, 1, 2];
 /** Milliseconds after an event at which all nodes are asked. */
@@ -411,3 +411,84 @@
     assert.equal(world.lines.filter((l) => l.includes(' runs req-3/0')).length, 1);
   }
 });
+
+/** Limits that are enforced, and room for the jobs that come. */
+const BUSY: Shape = { ...SMALL, state: { ...SMALL.state, enforced: true } };
+
+test('one-task jobs come four a second for two minutes, a quarter of them cancelled', async () => {
+  const world = new World(BUSY);
+  for (let i = 0; i < 9; i += 1) world.addWorker('large', i % 2 === 0 ? 'east' : 'west');
+  await world.start();
+  const users = new Users(world);
+  const random = seededRandom(7);
+  world.state.applied = (body) => {
+    const id = jobOf(body);
+    if (id !== null && isEnd(body)) users.lookClosely(id, [0, 20]);
+  };
+  // The teams are near their limits, and at times beyond them.
+  const options = (): JobOptions => ({
+    cpus: 4,
+    runMs: 1000 + random(3000),
+    team: random(2) === 0 ? 'red' : 'blue',
+  });
+  const from = world.state.changes.total;
+  const ids = await crowd(world, users, random, { jobs: 480, gap: 240, cancelled: 25, options });
+  const changesAJob = (world.state.changes.total - from) / ids.length;
+  await askUntilOver(world, users, ids, 60);
+  assertClean(world);
+  const over = ids.filter((id) => users.finalOf(id) !== null).length;
+  assert.equal(over, ids.length, 'all jobs are over');
+  assert.deepEqual(startsAfterCancellation(world), []);
+  // Accepted, ended (two changes), and a little for the rest.
+  assert.ok(changesAJob < 4.5, `${changesAJob} changes a job`);
+  assert.equal(world.state.seen.tooMany, 0, 'no request beyond the limits');
+});
+
+test('the state service answers after up to a second while users cancel and ask', async () => {
+  for (let seed = 1; seed <= 4; seed += 1) {
+    const { world, users } = await startWorld('east', 'west', 'east');
+    const random = seededRandom(seed);
+    world.state.answerDelay = () => 300 + random(700);
+    world.state.applied = (body) => {
+      const id = jobOf(body);
+      if (id !== null) users.lookClosely(id, BURST);
+    };
+    const options = (): JobOptions => ({ tasks: 1 + random(3), cpus: 1, runMs: 500 + random(4000) });
+    const ids = await crowd(world, users, random, { jobs: 12, gap: 500, cancelled: 50, options });
+    await askUntilOver(world, users, ids, 60);
+    assertClean(world);
+    assert.deepEqual(startsAfterCancellation(world), []);
+    for (const id of ids) assert.notEqual(users.finalOf(id), null, `${id} is over (seed ${seed})`);
+  }
+});
+
+test('the leader alone is refused, then everybody for longer than cancel_s, while users cancel and ask', async () => {
+  // The cancellation is confirmed elsewhere; the outage begins at each of these times after it.
+  for (const outageAfter of [0, 100, 500, 1500, 3000]) {
+    for (let phase = 0; phase < SMALL.reportS * 1000; phase += 500) {
+      const { world, users } = await startWorld('east', 'west', 'east');
+      await answered(world, users.submit(0, 'req-1', { tasks: 4, service: true, zone: 'east' }));
+      await world.step(2000 + phase);
+      world.state.refused.add('n0');
+      await answered(
+        world,
+        persist(world, 1, () => users.abort(1, 'req-1')),
+      );
+      await world.step(outageAfter);
+      world.state.outage = true;
+      for (let second = 0; second < SMALL.cancelS + 10; second += 1) {
+        for (const node of NODES) void users.poll(node, 'req-1');
+        void users.submit(second % 3, 'req-1');
+        void users.abort((second + 1) % 3, 'req-1');
+        await world.step(1000);
+      }
+      assertClean(world);
+      world.state.refused.clear();
+      world.state.endOutage();
+      await askUntilOver(world, users, ['req-1'], 5);
+      await world.step(10_000);
+      assertClean(world);
+      assert.equal(users.finalOf('req-1'), 'cancelled');
+    }
+  }
+});
