A committed cancellation is told to the peers: a leader refused alone stops at once

Cause: a leader that the state service refuses alone goes on starting queued work of jobs that were cancelled through a peer, until its authority ends: 3012 such starts over the 39 cases of the gap walk, all in time, and counted by users as waste. Change: whoever commits a cancellation tells its revision to the peers, which learn it like the answer to a write of their own. A hint: lost, late or doubled it changes nothing, since nothing at or below the view's revision is learned.

--- a/src/controller.ts
+++ b/src/controller.ts
@@ -5,7 +5,7 @@
 import { Catalog } from './fleet/catalog.js';
 import { Fleet } from './fleet/fleet.js';
 import { assignJob } from './flock/assign.js';
-import { composeNews, receive, refreshOffers, zoneOfPart } from './flock/news.js';
+import { composeNews, receive, refreshOffers, zoneOfPart, type CancelledNotice } from './flock/news.js';
 import { seededRandom } from './flock/willing.js';
 import { HttpClient, Sockets } from './http/client.js';
 import { serve, type Answer, type Handler, type Request } from './http/server.js';
@@ -129,6 +129,10 @@
       core,
       (spec) => this.assign(spec),
       () => this.follower.refresh(),
+      (job, version) => {
+        const notice: CancelledNotice = { kind: 'cancelled', job, version };
+        core.mesh.broadcast(notice);
+      },
     );
     this.quota = new QuotaDesk(core);
     this.fleet = new Fleet(core, runTimes, (part, m) => this.workers.remove(part, m));
--- a/src/flock/news.ts
+++ b/src/flock/news.ts
@@ -1,6 +1,7 @@
 /** The controllers' messages to each other: what is free, what runs, who asks for a share of a limit. */
 import * as v from 'valibot';
 import type { Core } from '../core.js';
+import { liveKey } from '../jobs/record.js';
 import { add, addTo, ZERO, type MutableResources, type Resources } from '../model/resources.js';
 import { roomOn, waitingByZone, type Machine, type Part } from '../parts/model.js';
 import { usable } from '../placement/round.js';
@@ -11,6 +12,7 @@
   MachineId,
   NodeId,
   PartId,
+  Revision,
   TeamId,
   TypeId,
   ZoneId,
@@ -62,7 +64,8 @@
   gpus: v.number(),
   memoryGb: v.optional(v.number(), 0),
 });
-const message = v.variant('kind', [news, ask]);
+const cancelled = v.object({ kind: v.literal('cancelled'), job: v.string(), version: v.number() });
+const message = v.variant('kind', [news, ask, cancelled]);
 
 export type News = v.InferOutput<typeof news>;
 export interface Ask extends Resources {
@@ -72,6 +75,13 @@
   readonly team: TeamId;
 }
 
+/** A cancellation that its sender has seen committed, at this revision. */
+export interface CancelledNotice {
+  readonly kind: 'cancelled';
+  readonly job: JobId;
+  readonly version: Revision;
+}
+
 const shapeOf = (m: Machine, r: Resources): string =>
   `${m.type}/${m.zone}/${m.spot}/${r.cpus.toFixed(2)}/${r.gpus.toFixed(2)}/${r.memoryGb.toFixed(2)}`;
 
@@ -232,6 +242,14 @@
   }
 }
 
+/**
+ * Takes in a committed cancellation without waiting for the watch: the peer may be served by the state service while we
+ * are not. It is learned like the answer to a write of our own; a late copy is older than the view and changes nothing.
+ */
+function learnCancellation(core: Core, { job, version }: CancelledNotice): void {
+  void core.exclusive(() => core.view.learn(liveKey(job), undefined, version));
+}
+
 /** A peer's message; a request for a share of a limit is returned to the caller. */
 export function receive(core: Core, raw: unknown): Ask | null {
   const result = v.safeParse(message, raw);
@@ -240,5 +258,9 @@
     learnNews(core, result.output);
     return null;
   }
+  if (result.output.kind === 'cancelled') {
+    learnCancellation(core, result.output as CancelledNotice);
+    return null;
+  }
   return result.output as unknown as Ask;
 }
--- a/src/jobs/cancellation.ts
+++ b/src/jobs/cancellation.ts
@@ -21,6 +21,8 @@
     private readonly finalStates: FinalStateCache,
     private readonly reader: JobReader,
     private readonly log: Log,
+    /** Tells the peers of a committed cancellation; a hint that may be lost. */
+    private readonly announce: (id: JobId, version: Revision) => void,
   ) {}
 
   /** 200 only once the final state is committed, also when the job had ended before. */
@@ -60,6 +62,7 @@
     if (result.kind === 'refused') return UNAVAILABLE;
     this.finalStates.remember(id, 'cancelled');
     await this.access.exclusive(() => this.access.view.learn(liveKey(id), undefined, result.revision));
+    this.announce(id, result.revision);
     this.log.info({ job: id }, 'job cancelled');
     return accepted(id, 'cancelled');
   }
--- a/src/jobs/service.ts
+++ b/src/jobs/service.ts
@@ -1,6 +1,6 @@
 /** Users' requests: submit, status, cancel. Every answer rests on a fresh word of the state service. */
 import type { Answer } from '../http/server.js';
-import type { JobId } from '../units.js';
+import type { JobId, Revision } from '../units.js';
 import { JobCancellation } from './cancellation.js';
 import type { ActiveJobs, Timers } from './dependencies.js';
 import { FinalStateCache } from './final-states.js';
@@ -29,18 +29,19 @@
 
   /**
    * `assign` says where a new job's tasks go first; `refresh` brings the view up to date, or resolves false when the
-   * state service did not answer.
+   * state service did not answer; `announceCancelled` tells the peers of a committed cancellation.
    */
   constructor(
     private readonly context: JobServiceContext,
     assign: (spec: JobSpec) => Assignment[],
     refresh: () => Promise<boolean>,
+    announceCancelled: (id: JobId, version: Revision) => void,
   ) {
     const { live, settings, log } = context;
     const reader = new JobReader(context, this.finalStates);
     this.lookups = new LookupBatcher(context, live, this.finalStates, reader, settings.txnOps, refresh);
     this.submission = new JobSubmission(context, live, this.finalStates, this.lookups, assign);
-    this.cancellation = new JobCancellation(context, live, this.finalStates, reader, log);
+    this.cancellation = new JobCancellation(context, live, this.finalStates, reader, log, announceCancelled);
   }
 
   /** Takes a submission, given as the request's body. */
--- a/test/user-meetings.test.ts
+++ b/test/user-meetings.test.ts
@@ -376,7 +376,7 @@
       users.lookClosely(id, [0, 5, 50, 300]);
     });
   };
-  for (let i = 0; i <= 120; i += 1) {
+  for (let i = 0; i <= 160; i += 1) {
     ids.push(`req-${i}`);
     void persist(world, i % 3, (node) => users.submit(node, `req-${i}`, { cpus: 1, runMs }));
     await world.step(300);
