Let the largest jobs begin under overload: reserve a machine, gather a share of the limit

With more work than room, a job whose task needs a whole machine never began, nor did a large best-effort job amid urgent work (stand-ins, 300 s: 4 of 6 large jobs never began). Causes and changes: - Smaller tasks took each piece of a machine that came free. After 60 s without a start one machine is reserved for a task that needs at least half of it; one machine in 8 of a part at most (placement/plan.ts reservePlace). - Smaller tasks of the team took each piece of the part's share of its limit, and each part kept a piece too small for any task. One task's worth now gathers, also from other parts; the lower part number goes first (withholdShare, quota/desk.ts gather). - Urgent work always went first. After 150 s without any start a job goes before all but critical work; one start ends that, and for 60 s it is stopped for critical work only: otherwise it and guaranteed work stopped each other for good.

test/waiting.test.ts 'more work than room': all six begin within 240 s over links of 1 ms and 300 ms.

--- a/src/flock/news.ts
+++ b/src/flock/news.ts
@@ -51,6 +51,7 @@
   team: v.string(),
   cpus: v.number(),
   gpus: v.number(),
+  gathering: v.optional(v.boolean(), false),
 });
 const message = v.variant('kind', [news, ask]);
 
@@ -62,6 +63,8 @@
   readonly team: TeamId;
   readonly cpus: number;
   readonly gpus: number;
+  /** For a task that has waited too long: the giver keeps nothing free for its own waiting tasks. */
+  readonly gathering: boolean;
 }
 
 const shapeOf = (m: Machine, r: Room): string =>
--- a/src/parts/model.ts
+++ b/src/parts/model.ts
@@ -24,6 +24,7 @@
 } from '../units.js';
 import { millis, steady } from '../units.js';
 import type { ExitCause } from '../workers/wire.js';
+import type { Share } from '../quota/shares.js';
 import { Unsettled } from './accounting.js';
 import { Sums, type Amount, type Room } from './sums.js';
 
@@ -124,6 +125,8 @@
 export interface Hold {
   readonly machine: MachineId;
   readonly until: SteadyMs;
+  /** For a job that has waited too long: nothing is stopped for it, the machine empties by itself. */
+  readonly reserved: boolean;
 }
 
 export interface PartJob {
@@ -169,6 +172,8 @@
   /** Teams whose tasks found no room in the last round, and those that were at this part's share of their limit. */
   roomless: ReadonlySet<TeamId> = new Set();
   limited: ReadonlySet<TeamId> = new Set();
+  /** Teams for one task of which this part gathers a share that is large enough, and how much that is. */
+  gathering: ReadonlyMap<TeamId, Share> = new Map();
   /** By who may be stopped: a search that found nobody, for how much room, and until when it need not be repeated. */
   readonly fruitless = new Map<string, { readonly need: Room; readonly until: SteadyMs }>();
   /** Machines that may have something to be told directly. */
--- a/src/placement/plan.ts
+++ b/src/placement/plan.ts
@@ -2,6 +2,7 @@
  * One placement round of a part: which waiting tasks start where, which tasks stop to make room, and what stays
  * without room. Pure: it reads the part and returns decisions.
  */
+import type { MachineType } from '../cloud/wire.js';
 import { Priority, type JobSpec } from '../jobs/spec.js';
 import {
   pinOf,
@@ -13,13 +14,14 @@
   type Room,
 } from '../parts/model.js';
 import type { ZoneId } from '../units.js';
-import { compareKeys, Places } from './places.js';
+import { compareKeys, fits, Places } from './places.js';
 import {
   allowed,
   charge,
   deadlineAt,
   lateness,
   leaving,
+  OVERDUE_AFTER,
   scratchRoom,
   startRound,
   take,
@@ -37,6 +39,10 @@
 const FETCH_WORTH_STOPPING_S = 1;
 /** A job that has waited this long without any start goes first in its priority, and none is kept below standard. */
 const STARVED_AFTER = 90_000;
+/** A task that fits on no machine as they are has one reserved after this time, which needs time to empty. */
+const RESERVE_AFTER = 60_000;
+/** Of a part's machines, one in this many at most empties for jobs whose tasks fit nowhere. */
+const RESERVED_SHARE = 8;
 /** Waiting this long outweighs needing twice as much: work that needs little must not starve the largest. */
 const AGE_STEP = 15_000;
 
@@ -45,11 +51,16 @@
   readonly key: readonly number[];
 }
 
-function starved(part: Part, job: PartJob, ctx: PlanContext): boolean {
+/** How long the job has waited without any start; 0: it has begun. */
+function unbegunFor(part: Part, job: PartJob, ctx: PlanContext): number {
   const begun = !job.record.done.isEmpty || !job.finished.isEmpty || part.boundOf.has(job.id);
-  return !begun && ctx.now - job.firstSeen > STARVED_AFTER;
+  return begun ? 0 : ctx.now - job.firstSeen;
 }
 
+/** Critical work first, then jobs that are long overdue, then all others. */
+const turn = (spec: JobSpec, unbegun: number): number =>
+  spec.priority === Priority.critical ? 0 : unbegun > OVERDUE_AFTER ? 1 : 2;
+
 /**
  * Critical first, then work within its team's guarantee, then by priority, then the deadlines that can be met,
  * small jobs first. Waiting makes up for size, and after long enough for priority: every job begins.
@@ -59,10 +70,11 @@
   const estimate = spec.estimateS * ctx.correction(spec.lane) * 1000;
   const due = deadlineAt(job);
   const late = lateness(job, estimate, ctx);
-  const starving = starved(part, job, ctx);
+  const unbegun = unbegunFor(part, job, ctx);
+  const starving = unbegun > STARVED_AFTER;
   const aged = (ctx.now - job.firstSeen) / AGE_STEP;
   const key = [
-    spec.priority === Priority.critical ? 0 : 1,
+    turn(spec, unbegun),
     ctx.guaranteed(job.id) ? 0 : 1,
     starving ? Math.min(spec.priority, Priority.standard) : spec.priority,
     starving ? -1 : late,
@@ -83,7 +95,7 @@
   const s = startRound(part);
   const waiting = queued(part);
   keepHeldRoom(part, waiting, s, ctx);
-  const plan: Plan = { starts: [], stops: [], holds: [], unplaced: [] };
+  const plan: Plan = { starts: [], stops: [], holds: [], unplaced: [], gathering: new Map() };
   const due = waiting.filter((j) => ctx.now >= j.notBefore);
   const ranked = due.map((j) => rank(part, j, ctx)).sort(byKey);
   for (const { job } of ranked) {
@@ -110,8 +122,11 @@
   for (const job of waiting) {
     for (const [index, hold] of job.holds) {
       const machine = part.machines.get(hold.machine);
-      if (!machine || ctx.now >= hold.until || !job.waiting.has(index)) job.holds.delete(index);
-      else take(scratchRoom(machine, s, ctx), job.spec, 1);
+      const room = machine ? scratchRoom(machine, s, ctx) : null;
+      const over = !machine || ctx.now >= hold.until || !job.waiting.has(index);
+      if (over || (hold.reserved && !room)) job.holds.delete(index);
+      else take(room, job.spec, 1);
+      if (hold.reserved && job.holds.has(index)) s.reserved += 1;
     }
   }
 }
@@ -134,6 +149,7 @@
     if (noLimit.length >= UNPLACED_SHOWN || plan.starts.length >= MAX_STARTS) break;
     if (!withinShare(job.spec, s, ctx)) {
       noLimit.push(index);
+      if (noLimit.length === 1) withholdShare(part, job, s, ctx, plan);
       if (job.spec.priority === Priority.critical) makeShare(part, job, noLimit.length, s, ctx, plan);
       else limited = true;
       continue;
@@ -169,6 +185,7 @@
       if (makeRoom(part, job, index, pin, s, ctx, plan)) continue;
       hopeless.add(pin);
     }
+    if (!better && reservePlace(part, job, index, pin, s, ctx, plan)) continue;
     noRoom.push(index);
     shown.set(pin, (shown.get(pin) ?? 0) + 1);
   }
@@ -176,6 +193,56 @@
   if (noLimit.length > 0) plan.unplaced.push({ job, reason: 'limit', indices: noLimit });
 }
 
+/** Smaller tasks find a piece of some machine soon. */
+const needsMost = (type: MachineType, spec: JobSpec): boolean =>
+  fits(type, spec) &&
+  (2 * spec.cpus >= type.cpus ||
+    2 * spec.memoryGb >= type.memoryGb ||
+    (spec.gpus > 0 && 2 * spec.gpus >= type.gpus));
+
+/**
+ * A task that needs most of a machine fits nowhere as long as smaller ones take each piece that comes free. After a
+ * while one machine is kept for it and empties. One for each job, and few of a part's machines at a time.
+ */
+function reservePlace(
+  part: Part,
+  job: PartJob,
+  index: number,
+  pin: ZoneId | null,
+  s: Scratch,
+  ctx: PlanContext,
+  plan: Plan,
+): boolean {
+  const { spec } = job;
+  if (unbegunFor(part, job, ctx) <= RESERVE_AFTER || job.holds.size > 0) return false;
+  if (plan.holds.some((h) => h.job === job)) return false;
+  const most = Math.max(1, Math.floor(part.machines.size / RESERVED_SHARE));
+  if (s.reserved + plan.holds.filter((h) => h.reserved).length >= most) return false;
+  let best: { machine: Machine; room: Room } | null = null;
+  for (const machine of part.machines.values()) {
+    const type = ctx.types.get(machine.type);
+    if (!type || !needsMost(type, spec) || !allowed(spec, machine.type, machine.zone, machine.spot, pin))
+      continue;
+    const room = scratchRoom(machine, s, ctx);
+    if (room && (!best || room.cpus > best.room.cpus)) best = { machine, room };
+  }
+  if (!best) return false;
+  take(best.room, spec, 1);
+  plan.holds.push({ job, index, machine: best.machine.id, reserved: true });
+  return true;
+}
+
+/**
+ * The same for its team's limit: smaller tasks of the team would take each piece of this part's share that comes free.
+ * One task's worth gathers, also from other parts, for one job of a team at a time.
+ */
+function withholdShare(part: Part, job: PartJob, s: Scratch, ctx: PlanContext, plan: Plan): void {
+  const { spec } = job;
+  if (plan.gathering.has(spec.team) || unbegunFor(part, job, ctx) <= RESERVE_AFTER) return;
+  plan.gathering.set(spec.team, { cpus: spec.cpus, gpus: spec.gpus });
+  charge(s, spec);
+}
+
 /** The waiting tasks of a job, less the rest of those whose zone has shown that it has no room for many of them. */
 function* runsToTry(job: PartJob, shown: ReadonlyMap<ZoneId | null, number>): Generator<number> {
   for (const { from, to, zone } of waitingRuns(job))
--- a/src/placement/round.ts
+++ b/src/placement/round.ts
@@ -10,9 +10,13 @@
   type PartJob,
   type Room,
 } from '../parts/model.js';
+import type { Share } from '../quota/shares.js';
 import type { Team } from '../settings/settings.js';
 import type { JobId, MachineId, SteadyMs, TeamId, TypeId, ZoneId } from '../units.js';
 
+/** Without any start by then it goes before all but critical work, of whatever priority. One start ends that. */
+export const OVERDUE_AFTER = 150_000;
+
 export interface PlanContext {
   readonly now: SteadyMs;
   readonly types: ReadonlyMap<TypeId, MachineType>;
@@ -55,8 +59,10 @@
 export interface Plan {
   readonly starts: Start[];
   readonly stops: Stop[];
-  readonly holds: { job: PartJob; index: number; machine: MachineId }[];
+  readonly holds: { job: PartJob; index: number; machine: MachineId; reserved: boolean }[];
   readonly unplaced: Unplaced[];
+  /** By team: the share of its limit that one task needs for which smaller ones now make way. */
+  readonly gathering: Map<TeamId, Share>;
 }
 
 export interface Scratch {
@@ -69,6 +75,8 @@
   readonly stopping: Set<Binding>;
   readonly leaving: Map<TeamId, number>;
   searches: number;
+  /** Machines that are kept for tasks that fit nowhere. */
+  reserved: number;
 }
 
 export const usedHere = (s: Scratch, team: TeamId): { cpus: number; gpus: number } =>
@@ -156,6 +164,7 @@
     stopping: new Set(),
     leaving: new Map(),
     searches: 0,
+    reserved: 0,
   };
   for (const [team, { cpus, gpus }] of usage.teams) s.used.set(team, { cpus, gpus });
   for (const b of part.stopping) if (b.spec) leaving(s, b.spec);
--- a/src/placement/scheduler.ts
+++ b/src/placement/scheduler.ts
@@ -24,6 +24,8 @@
 const ROUND_SHARE = 4;
 const MAX_GAP = 400;
 const HOLD = millis(6000);
+/** How long a machine may take to empty for a task that has waited too long. */
+const RESERVED = millis(120_000);
 /** Replicas are moved together one by one, this far apart: few are away at any moment. */
 const MOVE_GAP = 400;
 
@@ -113,7 +115,7 @@
     const move = chooseMove(part, context);
     if (!move) return;
     const job = part.jobs.get(move.binding.job);
-    job?.holds.set(move.binding.index, { machine: move.to.id, until: plus(now, HOLD) });
+    job?.holds.set(move.binding.index, { machine: move.to.id, until: plus(now, HOLD), reserved: false });
     this.stop(part, move.binding, 0);
   }
 
@@ -159,11 +161,13 @@
       this.start(part, s, shared, now);
     }
     for (const s of plan.stops) this.stop(part, s.binding, s.grace);
-    for (const h of plan.holds) h.job.holds.set(h.index, { machine: h.machine, until: plus(now, HOLD) });
+    for (const { job, index, machine, reserved } of plan.holds)
+      job.holds.set(index, { machine, until: plus(now, reserved ? RESERVED : HOLD), reserved });
     const teamsThatWaitFor = (reason: 'room' | 'limit'): Set<TeamId> =>
       new Set(plan.unplaced.filter((u) => u.reason === reason).map((u) => u.job.spec.team));
     part.roomless = teamsThatWaitFor('room');
     part.limited = teamsThatWaitFor('limit');
+    part.gathering = plan.gathering;
     const short = new Set(plan.unplaced.map((u) => u.job));
     for (const job of this.short.get(part) ?? []) if (!short.has(job)) job.waitingSince = null;
     for (const job of short) job.waitingSince ??= now;
--- a/src/placement/victims.ts
+++ b/src/placement/victims.ts
@@ -10,6 +10,7 @@
   deadlineAt,
   lateness,
   leaving,
+  OVERDUE_AFTER,
   scratchRoom,
   staying,
   take,
@@ -29,6 +30,8 @@
 /** Work in CPU milliseconds, for each CPU, that one step of a job's deadline weighs as much as. */
 const PROMISE_WORTH = 20_000;
 const SEARCH_AGAIN = 700;
+/** How long a job that began long overdue is stopped for critical work only. */
+const SHELTERED_FOR = 60_000;
 const MAX_FRUITLESS = 200;
 
 /** Work lost when this task is stopped now, in CPU milliseconds. */
@@ -64,6 +67,16 @@
   return higher || (guaranteed && b.spec.team !== job.spec.team && borrowed(b.spec, s, ctx));
 }
 
+/**
+ * A job that began long overdue went before guaranteed work: stopped for that at once, it would be placed first again,
+ * and both would stop each other for good.
+ */
+function isSheltered(part: Part, b: Binding, by: PartJob, ctx: PlanContext): boolean {
+  const job = part.jobs.get(b.job);
+  if (!job || by.spec.priority === Priority.critical || !job.record.done.isEmpty) return false;
+  return b.boundAt - job.firstSeen > OVERDUE_AFTER && ctx.now - b.boundAt < SHELTERED_FOR;
+}
+
 /** Does its team still have its guarantee without this task? */
 function borrowed(spec: JobSpec, s: Scratch, ctx: PlanContext): boolean {
   const team = ctx.teams.get(spec.team);
@@ -89,7 +102,7 @@
   const stoppable: Binding[] = [];
   const most = { ...room };
   for (const b of m.bindings.values()) {
-    if (!mayStop(b, job, guaranteed, s, ctx)) continue;
+    if (!mayStop(b, job, guaranteed, s, ctx) || isSheltered(part, b, job, ctx)) continue;
     stoppable.push(b);
     take(most, b.spec as JobSpec, -1);
   }
@@ -150,7 +163,7 @@
   take(soon, job.spec, 1);
   take(s.room.get(machine.id), job.spec, 1);
   charge(s, job.spec);
-  plan.holds.push({ job, index, machine: machine.id });
+  plan.holds.push({ job, index, machine: machine.id, reserved: false });
   return true;
 }
 
--- a/src/quota/desk.ts
+++ b/src/quota/desk.ts
@@ -43,6 +43,13 @@
    * nothing, while a peer may have room and no share.
    */
   private need(part: Part, team: TeamId): Share {
+    const ordinary = this.ordinaryNeed(part, team);
+    const gathers = part.gathering.get(team);
+    if (!gathers) return ordinary;
+    return { cpus: Math.max(ordinary.cpus, gathers.cpus), gpus: Math.max(ordinary.gpus, gathers.gpus) };
+  }
+
+  private ordinaryNeed(part: Part, team: TeamId): Share {
     const waits = this.waiting(part, team);
     if (!part.roomless.has(team)) return waits;
     const used = part.sums.teams.get(team) ?? { cpus: 0, gpus: 0 };
@@ -67,11 +74,18 @@
     return { cpus, gpus };
   }
 
-  private usable(part: Part, team: TeamId, asked: Share): Share {
+  /** Of two parts that gather for the same team the one with the lower number goes first. */
+  private needBeside(part: Part, ask: Ask): Share {
+    if (!ask.gathering) return this.need(part, ask.team);
+    const first = ask.from < part.id ? undefined : part.gathering.get(ask.team);
+    return first ?? { cpus: 0, gpus: 0 };
+  }
+
+  private usable(part: Part, team: TeamId, asked: Share, need = this.need(part, team)): Share {
     const usage = usageOf(part);
     const used = usage.teams.get(team) ?? { cpus: 0, gpus: 0 };
     const all = { cpus: used.cpus + usage.cpusAnybody, gpus: used.gpus + usage.gpusAnybody };
-    return gift(this.share(part.id, team), all, this.need(part, team), asked);
+    return gift(this.share(part.id, team), all, need, asked);
   }
 
   /** Unused shares by team, for the announcements. */
@@ -89,6 +103,8 @@
     const now = this.core.clock.now();
     const key = `${part.id}/${team}`;
     if (now - (this.asked.get(key) ?? -1e12) < ASK_GAP) return;
+    const gathers = part.gathering.get(team);
+    if (gathers) this.gather(part, team, gathers, now);
     let best: { part: PartId; spare: number } | null = null;
     for (const { part: other } of this.core.settings.parts) {
       if (other === part.id) continue;
@@ -97,14 +113,30 @@
     }
     if (!best) return;
     this.asked.set(key, now);
-    const ask: Ask = { kind: 'ask', from: part.id, to: best.part, team, ...amount };
-    if (this.core.parts.has(best.part)) void this.answer(ask);
+    this.send({ kind: 'ask', from: part.id, to: best.part, team, ...amount, gathering: false });
+  }
+
+  private send(ask: Ask): void {
+    if (this.core.parts.has(ask.to)) void this.answer(ask);
     else {
-      const owner = this.core.partRecord(best.part)?.owner;
+      const owner = this.core.partRecord(ask.to)?.owner;
       if (owner) this.core.mesh.send(owner, ask);
     }
   }
 
+  /** What is missing for one task, asked of every other part: each may have a piece that is too small for any task. */
+  private gather(part: Part, team: TeamId, needed: Share, now: SteadyMs): void {
+    const share = this.share(part.id, team);
+    const used = part.sums.teams.get(team) ?? { cpus: 0, gpus: 0 };
+    const cpus = Math.max(0, needed.cpus - (share.cpus - used.cpus));
+    const gpus = Math.max(0, needed.gpus - (share.gpus - used.gpus));
+    if (cpus <= 0 && gpus <= 0) return;
+    this.asked.set(`${part.id}/${team}`, now);
+    for (const { part: other } of this.core.settings.parts)
+      if (other !== part.id)
+        this.send({ kind: 'ask', from: part.id, to: other, team, cpus, gpus, gathering: true });
+  }
+
   private spareOf(part: PartId, team: TeamId, now: SteadyMs): number {
     const own = this.core.parts.get(part);
     if (own) return this.usable(own, team, { cpus: Infinity, gpus: Infinity }).cpus;
@@ -121,7 +153,7 @@
     const known = this.shares(ask.team);
     if (!part || !team || !known || this.pending.has(key) || ask.from === ask.to || !known.shares[ask.from])
       return;
-    const amount = this.usable(part, ask.team, { cpus: ask.cpus, gpus: ask.gpus });
+    const amount = this.usable(part, ask.team, ask, this.needBeside(part, ask));
     if (amount.cpus <= 0 && amount.gpus <= 0) return;
     this.pending.set(key, amount);
     const value = encodeShares(team, moveShare(known.shares, ask.to, ask.from, amount));
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -117,7 +117,11 @@
       if (machine) unbind(this.part, machine, binding);
     }
     for (const h of plan.holds)
-      h.job.holds.set(h.index, { machine: h.machine, until: (this.now + 6000) as never });
+      h.job.holds.set(h.index, {
+        machine: h.machine,
+        until: (this.now + 6000) as never,
+        reserved: h.reserved,
+      });
     for (const u of plan.unplaced) u.job.waitingSince ??= this.now as never;
     return said.join('; ') || 'nothing';
   }
--- a/test/standins/world.ts
+++ b/test/standins/world.ts
@@ -90,6 +90,7 @@
 
 interface JobEntry extends JobFacts {
   readonly team: string;
+  readonly rank: string;
   readonly tasks: number;
   readonly spread: boolean;
   readonly spot: boolean;
@@ -461,6 +462,7 @@
     const tasks = o.tasks ?? 1;
     this.jobs.set(id, {
       team: o.team ?? 'red',
+      rank: o.rank ?? (o.service ? 'critical' : 'standard'),
       tasks,
       cpus: o.cpus ?? 2,
       runMs: o.service ? Infinity : (o.runMs ?? 5000),
--- a/test/waiting.test.ts
+++ b/test/waiting.test.ts
@@ -226,3 +226,65 @@
     assert.ok(watch.longest < LEFT_WAITING, `${watch.longestJob} waited ${watch.longest} ms for nothing`);
   });
 }
+
+/** What the task says: the largest jobs of each class begin within this time, in milliseconds. */
+const LARGEST_BEGIN = 240_000;
+
+/** More work than room: small jobs of both teams and ranks all the time; the large ones come amid them. */
+async function overload(
+  w: World,
+  forMs: number,
+  gapMs: number,
+  large: readonly (readonly [string, JobOptions])[],
+): Promise<void> {
+  const from = w.clock.now();
+  let next = 0;
+  let sent = 0;
+  for (let at = 0; at < forMs; at += gapMs) {
+    const kind = next % 4;
+    const rank = kind < 2 ? 'urgent' : 'standard';
+    const small = { tasks: 1 + (next % 2), runMs: 6000, team: kind % 2 === 0 ? 'red' : 'blue', rank };
+    void w.request(next % 3, 'POST', '/v2/runs', w.submission(`req-${1000 + next}`, small));
+    const due = at >= 18_000 + 4000 * sent ? large[sent] : undefined;
+    if (due) sent += 1;
+    if (due) await w.submit(next % 3, due[0], due[1]);
+    next += 1;
+    await w.step(Math.max(0, from + at + gapMs - w.clock.now()));
+  }
+}
+
+test('more work than room, urgent and not, over slow links: the largest begin in time, nobody is left out', async () => {
+  // Each task costs more time over slow links: as much more work than room in both.
+  for (const [linkMs, gapMs] of [
+    [1, 600],
+    [300, 720],
+  ] as const) {
+    const w = await worldWith('east', 'east', 'west', 'west');
+    w.linkMs = linkMs;
+    const large: [string, JobOptions][] = ['standard', 'urgent', 'best_effort'].flatMap((rank, i) => [
+      [`req-${10 + i}`, { tasks: 30, runMs: 15_000, team: 'red', rank }] as [string, JobOptions],
+      [`req-${20 + i}`, { tasks: 2, cpus: 8, runMs: 15_000, team: 'blue', rank }] as [string, JobOptions],
+    ]);
+    await overload(w, 300_000, gapMs, large);
+    const begun = large.map(([id]) => {
+      const asked = w.lines.find((l) => l.includes(` POST /${id} `)) ?? '';
+      const first = w.lines.find((l) => l.includes(` runs ${id}/`));
+      return first ? Math.round(Number(first.slice(0, 7)) - Number(asked.slice(0, 7))) : Infinity;
+    });
+    assert.deepEqual(w.broken, []);
+    assert.ok(Math.max(...begun) * 1000 <= LARGEST_BEGIN, `${linkMs}: begun after ${begun.join(', ')} s`);
+    for (const [what, share] of served(w))
+      assert.ok(share >= 0.5, `${linkMs}: of ${what} ${share.toFixed(2)} was served`);
+  }
+});
+
+/** Of each team's jobs, the share of which some task has begun. */
+function served(w: World): Map<string, number> {
+  const begun = new Set(w.lines.flatMap((l) => / runs (\S+)\/\d+$/.exec(l)?.[1] ?? []));
+  const counts = new Map<string, { all: number; begun: number }>();
+  for (const [id, job] of w.jobs) {
+    const c = counts.get(job.team) ?? { all: 0, begun: 0 };
+    counts.set(job.team, { all: c.all + 1, begun: c.begun + (begun.has(id) ? 1 : 0) });
+  }
+  return new Map([...counts].map(([what, c]) => [what, c.begun / c.all]));
+}
