--- a/test/waiting.test.ts
+++ b/test/waiting.test.ts
@@ -10,9 +10,13 @@
 import { capacityFor, seededRandom, type Offer } from '../src/flock/willing.js';
 import { newMachine, Part, syncJob, type PartJob } from '../src/parts/model.js';
 import { planRound } from '../src/placement/plan.js';
-import type { PlanContext } from '../src/placement/round.js';
+import { OVERDUE_AFTER, type PlanContext } from '../src/placement/round.js';
+import { QuotaDesk } from '../src/quota/desk.js';
+import { quotaKey } from '../src/quota/shares.js';
+import { View } from '../src/state/view.js';
 import { RangeSet } from '../src/ranges.js';
-import type { PartId, SteadyMs, ZoneId } from '../src/units.js';
+import type { PartId, SteadyMs, TeamId, ZoneId } from '../src/units.js';
+import { settle } from './standins/clock.js';
 import { IdleWatch } from './standins/idle-watch.js';
 import { plainSpec } from './standins/spec.js';
 import { World, type JobOptions } from './standins/world.js';
@@ -257,7 +261,7 @@
   // Each task costs more time over slow links: as much more work than room in both.
   for (const [linkMs, gapMs] of [
     [1, 600],
-    [300, 720],
+    [300, 670],
   ] as const) {
     const w = await worldWith('east', 'east', 'west', 'west');
     w.linkMs = linkMs;
@@ -288,3 +292,78 @@
   }
   return new Map([...counts].map(([what, c]) => [what, c.begun / c.all]));
 }
+
+const RED = 'red' as TeamId;
+
+test('an overdue task that needs more of its team’s limit than is free keeps smaller ones of the team from it', () => {
+  const { part, job } = partWith(3, { id: 'req-small', tasks: 20, cpus: 2 }, [[0, 20, 0, null]]);
+  (job as { firstSeen: SteadyMs }).firstSeen = NOW;
+  const record = {
+    spec: plainSpec({ id: 'req-large', cpus: 8 }),
+    home: 0,
+    assignments: [{ from: 0, to: 1, part: 0, zone: null }],
+    done: RangeSet.empty(),
+  } as never;
+  const starts = (ageMs: number): string[] => {
+    part.jobs.delete('req-large' as never);
+    syncJob(part, record, 2 as never, NOW, false, ageMs as never);
+    const plan = planRound(part, {
+      now: NOW,
+      types: TYPES,
+      teams: new Map(),
+      share: () => ({ cpus: 7, gpus: 0 }),
+      usedElsewhere: () => 0,
+      guaranteed: () => false,
+      peerHasRoom: () => false,
+      latest: () => 1,
+      correction: () => 1,
+      reportMs: 1500,
+    });
+    part.gathering = plan.gathering;
+    return plan.starts.map((s) => s.job.id);
+  };
+  assert.equal(starts(1000).length, 3);
+  assert.equal(part.gathering.size, 0);
+  assert.deepEqual(starts(OVERDUE_AFTER + 1), []);
+  assert.deepEqual([...part.gathering], [[RED, { cpus: 8, gpus: 0 }]]);
+});
+
+test('pieces of a limit that are too small for any task gather on one part, the lower number first', async () => {
+  const red = { name: RED, cpus: 12, cpusMax: 24, gpus: 0, gpusMax: 0 };
+  const view = new View(() => undefined);
+  const parts = [0, 1].map((id) => {
+    const part = new Part(id as PartId, 1 as never, 1 as never, 0 as SteadyMs, TYPES);
+    part.accounted = true;
+    const assignments = [{ from: 0, to: 10, part: id, zone: null }];
+    const spec = plainSpec({ id: `req-${id}`, tasks: 10, cpus: 9 });
+    syncJob(part, { spec, assignments, done: RangeSet.empty() } as never, 1 as never, NOW, false);
+    return part;
+  });
+  const [first, second] = parts as [Part, Part];
+  let now = NOW as number;
+  const desk = new QuotaDesk({
+    settings: { teams: new Map([[RED, red]]), parts: [{ part: 0 }, { part: 1 }, { part: 2 }] },
+    view,
+    parts: new Map(parts.map((p) => [p.id, p])),
+    partNews: new Map(),
+    clock: { now: () => (now += 1000) },
+    partRecord: () => null,
+    ownerCondition: () => ({}),
+    settle: () => Promise.resolve({ kind: 'done', revision: (view.version(quotaKey(RED)) + 1) as never }),
+    exclusive: (work: () => unknown) => Promise.resolve(work()),
+    log: { debug: () => undefined },
+    wake: () => undefined,
+  } as unknown as Core);
+  const shares = async (): Promise<number[]> => {
+    await settle();
+    return [first, second].map((p) => desk.share(p.id, RED).cpus);
+  };
+  const ask = { cpus: 90, gpus: 0 };
+  desk.request(first, RED, ask);
+  assert.deepEqual(await shares(), [8, 8], 'both have tasks that wait: neither gives');
+  second.gathering = first.gathering = new Map([[RED, { cpus: 9, gpus: 0 }]]);
+  desk.request(second, RED, ask);
+  assert.deepEqual(await shares(), [8, 8], 'the first gathers itself');
+  desk.request(first, RED, ask);
+  assert.deepEqual(await shares(), [9, 7]);
+});
