--- a/src/flock/news.ts
+++ b/src/flock/news.ts
@@ -61,15 +61,23 @@
   cpus: v.number(),
   gpus: v.number(),
   memoryGb: v.optional(v.number(), 0),
+  purpose: v.optional(v.picklist(['waiting', 'gather', 'remainder']), 'waiting'),
 });
 const message = v.variant('kind', [news, ask]);
 
 export type News = v.InferOutput<typeof news>;
+/**
+ * `waiting`: for tasks that wait; the giver keeps what its own need. `gather`: for a task that has waited too long; it
+ * keeps nothing for its own. `remainder`: for one task, from what the giver can start nothing with.
+ */
+export type AskPurpose = 'waiting' | 'gather' | 'remainder';
+
 export interface Ask extends Resources {
   readonly kind: 'ask';
   readonly from: PartId;
   readonly to: PartId;
   readonly team: TeamId;
+  readonly purpose: AskPurpose;
 }
 
 const shapeOf = (m: Machine, r: Resources): string =>
--- a/test/standins/world.ts
+++ b/test/standins/world.ts
@@ -108,6 +108,11 @@
   life: number;
 }
 
+export interface JobEntry extends JobFacts {
+  readonly team: string;
+  readonly rank: string;
+}
+
 export interface JobOptions {
   readonly tasks?: number;
   readonly team?: string;
@@ -133,7 +138,7 @@
   readonly state: StateStandin;
   readonly nodes: Node[];
   readonly workers = new Map<string, WorkerStandin>();
-  readonly jobs = new Map<string, JobFacts>();
+  readonly jobs = new Map<string, JobEntry>();
   readonly lines: string[] = [];
   readonly broken: string[] = [];
   readonly judge: Judge;
@@ -492,6 +497,8 @@
   submission(id: string, o: JobOptions = {}): Record<string, unknown> {
     const tasks = o.tasks ?? 1;
     this.jobs.set(id, {
+      team: o.team ?? 'red',
+      rank: o.rank ?? (o.service ? 'critical' : 'standard'),
       cpus: o.cpus ?? 2,
       gpus: o.gpus ?? 0,
       runMs: o.service ? Infinity : (o.runMs ?? 5000),
