--- a/src/flock/news.ts
+++ b/src/flock/news.ts
@@ -63,16 +63,24 @@
   cpus: v.number(),
   gpus: v.number(),
   memoryGb: v.optional(v.number(), 0),
+  purpose: v.optional(v.picklist(['waiting', 'gather', 'remainder']), 'waiting'),
 });
 const cancelled = v.object({ kind: v.literal('cancelled'), job: v.string(), version: v.number() });
 const message = v.variant('kind', [news, ask, cancelled]);
 
 export type News = v.InferOutput<typeof news>;
+/**
+ * `waiting`: for tasks that wait; the giver keeps what its own need. `gather`: for a task that has waited too long; it
+ * keeps nothing for its own. `remainder`: for one task, from what the giver can start nothing with.
+ */
+export type AskPurpose = 'waiting' | 'gather' | 'remainder';
+
 export interface Ask extends Resources {
   readonly kind: 'ask';
   readonly from: PartId;
   readonly to: PartId;
   readonly team: TeamId;
+  readonly purpose: AskPurpose;
 }
 
 /** A cancellation that its sender has seen committed, at this revision. */
--- a/src/parts/job.ts
+++ b/src/parts/job.ts
@@ -9,6 +9,8 @@
 export interface Hold {
   readonly machine: MachineId;
   readonly until: SteadyMs;
+  /** For a job that has waited too long: nothing is stopped for it, the machine empties by itself. */
+  readonly reserved: boolean;
 }
 
 export interface PartJob {
--- a/src/parts/part.ts
+++ b/src/parts/part.ts
@@ -36,6 +36,8 @@
   /** Teams whose tasks found no room in the last round, and those that were at this part's share of their limit. */
   roomless: ReadonlySet<TeamId> = new Set();
   limited: ReadonlySet<TeamId> = new Set();
+  /** Teams for one task of which this part gathers a share that is large enough, and how much that is. */
+  gathering: ReadonlyMap<TeamId, Resources> = new Map();
   /** By who may be stopped: a search that found nobody, for how much room, and until when it need not be repeated. */
   readonly fruitless = new Map<string, { readonly need: Resources; readonly until: SteadyMs }>();
   /** Machines that may have something to be told directly. */
--- a/src/quota/desk.ts
+++ b/src/quota/desk.ts
@@ -14,12 +14,16 @@
   type MutableResources,
   type Resources,
 } from '../model/resources.js';
-import { usageOf, type Part } from '../parts/model.js';
+import { usageOf, type Part, type PartJob } from '../parts/model.js';
 import { Rank } from '../state/budget.js';
 import type { PartId, Revision, SteadyMs, TeamId } from '../units.js';
+import { fitsAny, mayMove, missingForOne } from './remainder.js';
 import { decodeShares, encodeShares, gift, moveShare, quotaKey, type Shares } from './shares.js';
 
 const ASK_GAP = 250;
+/** Between two requests for remainders, and for how long nothing could be started with one before it is given. */
+const REMAINDER_ASK_GAP = 1000;
+const REMAINDER_IDLE = 5000;
 /** Of what a team uses on a part, or of an even share: what may find room there before some could be asked back. */
 const SOON = 0.1;
 
@@ -27,6 +31,9 @@
   /** What we gave in a write whose outcome is open: subtracted before it is sent. */
   private readonly pending = new Map<string, Resources>();
   private readonly asked = new Map<string, SteadyMs>();
+  private readonly askedRemainders = new Map<string, SteadyMs>();
+  /** Since when requests found that a part of ours can start nothing with what it has left of its share. */
+  private readonly idleSince = new Map<string, SteadyMs>();
   private readonly decoded = new Map<TeamId, { shares: Shares; version: Revision }>();
 
   constructor(private readonly core: Core) {}
@@ -56,6 +63,13 @@
    * nothing, while a peer may have room and no share.
    */
   private need(part: Part, team: TeamId): Resources {
+    const ordinary = this.ordinaryNeed(part, team);
+    const gathers = part.gathering.get(team);
+    if (!gathers) return ordinary;
+    return mapResources((kind) => Math.max(ordinary[kind], gathers[kind]));
+  }
+
+  private ordinaryNeed(part: Part, team: TeamId): Resources {
     const waits = this.waiting(part, team);
     if (!part.roomless.has(team)) return waits;
     const used = part.sums.teams.get(team) ?? ZERO;
@@ -69,20 +83,40 @@
 
   private waiting(part: Part, team: TeamId): Resources {
     const sum: MutableResources = { ...ZERO };
-    for (const job of part.accounted ? part.queue : part.jobs.values()) {
-      if (job.spec.team !== team) continue;
-      addTo(sum, job.spec, job.waiting.size + job.frozen.size);
-    }
+    for (const job of this.waitingJobs(part, team)) addTo(sum, job.spec, job.waiting.size + job.frozen.size);
     return sum;
   }
 
+  private waitingJobs(part: Part, team: TeamId): PartJob[] {
+    const jobs = [...(part.accounted ? part.queue : part.jobs.values())];
+    return jobs.filter((job) => job.spec.team === team && job.waiting.size + job.frozen.size > 0);
+  }
+
+  private waitingTasks(part: Part, team: TeamId): Resources[] {
+    return this.waitingJobs(part, team).map((job) => job.spec);
+  }
+
+  /** Of our share; of what is unlimited there is no end, whatever is used. */
+  private left(part: Part, team: TeamId): Resources {
+    const share = this.share(part.id, team);
+    const used = this.used(part, team);
+    return mapResources((kind) => (share[kind] === Infinity ? Infinity : share[kind] - used[kind]));
+  }
+
   private used(part: Part, team: TeamId): Resources {
     const usage = usageOf(part);
     return add(usage.teams.get(team) ?? ZERO, usage.anybody);
   }
 
-  private usable(part: Part, team: TeamId, asked: Resources): Resources {
-    return gift(this.share(part.id, team), this.used(part, team), this.need(part, team), asked);
+  /** Of two parts that gather for the same team the one with the lower number goes first. */
+  private needBeside(part: Part, ask: Ask): Resources {
+    if (ask.purpose !== 'gather') return this.need(part, ask.team);
+    const first = ask.from < part.id ? undefined : part.gathering.get(ask.team);
+    return first ?? ZERO;
+  }
+
+  private usable(part: Part, team: TeamId, asked: Resources, need = this.need(part, team)): Resources {
+    return gift(this.share(part.id, team), this.used(part, team), need, asked);
   }
 
   /** Unused shares by team, for the announcements. */
@@ -111,6 +145,8 @@
     const now = this.core.clock.now();
     const key = `${part.id}/${team}`;
     if (now - (this.asked.get(key) ?? -1e12) < ASK_GAP) return;
+    const gathers = part.gathering.get(team);
+    if (gathers) this.gather(part, team, gathers, now);
     const amount = this.short(part, team, waiting);
     if (isZero(amount)) return;
     let best: { part: PartId; spare: number } | null = null;
@@ -119,16 +155,68 @@
       const spare = times(this.spareOf(other, team, now), amount);
       if (spare > 0 && (!best || spare > best.spare)) best = { part: other, spare };
     }
-    if (!best) return;
+    if (!best) {
+      if (!gathers) this.requestRemainders(part, team, now);
+      return;
+    }
     this.asked.set(key, now);
-    const ask: Ask = { kind: 'ask', from: part.id, to: best.part, team, ...amount };
-    if (this.core.parts.has(best.part)) void this.answer(ask);
+    this.send({ kind: 'ask', from: part.id, to: best.part, team, ...amount, purpose: 'waiting' });
+  }
+
+  private send(ask: Ask): void {
+    if (this.core.parts.has(ask.to)) void this.answer(ask);
     else {
-      const owner = this.core.partRecord(best.part)?.owner;
+      const owner = this.core.partRecord(ask.to)?.owner;
       if (owner) this.core.mesh.send(owner, ask);
     }
   }
 
+  /** What is missing for one task, asked of every other part: each may have a piece that is too small for any task. */
+  private gather(part: Part, team: TeamId, needed: Resources, now: SteadyMs): void {
+    const left = subtract(this.share(part.id, team), part.sums.teams.get(team) ?? ZERO);
+    const missing = mapResources((kind) => Math.max(0, needed[kind] - left[kind]));
+    if (RESOURCE_KINDS.every((kind) => missing[kind] <= 0)) return;
+    this.asked.set(`${part.id}/${team}`, now);
+    for (const { part: other } of this.core.settings.parts)
+      if (other !== part.id)
+        this.send({ kind: 'ask', from: part.id, to: other, team, ...missing, purpose: 'gather' });
+  }
+
+  /** Nobody has announced anything to spare: asks every other part for what it can start nothing with. */
+  private requestRemainders(part: Part, team: TeamId, now: SteadyMs): void {
+    const key = `${part.id}/${team}`;
+    if (now - (this.askedRemainders.get(key) ?? -Infinity) < REMAINDER_ASK_GAP) return;
+    const limit = this.core.settings.teams.get(team)?.limit ?? ZERO;
+    const missing = missingForOne(this.left(part, team), this.waitingTasks(part, team), limit);
+    if (!missing) return;
+    this.askedRemainders.set(key, now);
+    for (const { part: other } of this.core.settings.parts)
+      if (other !== part.id)
+        this.send({ kind: 'ask', from: part.id, to: other, team, ...missing, purpose: 'remainder' });
+  }
+
+  /** What is left of our share once it has been idle for some time: a task of ours may end and make it useful. */
+  private remainderFor(part: Part, ask: Ask): Resources {
+    const key = `${part.id}/${ask.team}`;
+    const now = this.core.clock.now();
+    const left = this.left(part, ask.team);
+    const keeps = part.gathering.has(ask.team) || !part.accounted;
+    if (keeps || fitsAny(left, this.waitingTasks(part, ask.team))) {
+      this.idleSince.delete(key);
+      return ZERO;
+    }
+    const since = this.idleSince.get(key) ?? now;
+    this.idleSince.set(key, since);
+    if (now - since < REMAINDER_IDLE || !mayMove(part.id, ask.from, left, ask)) return ZERO;
+    this.idleSince.delete(key);
+    return this.usable(part, ask.team, ask, ZERO);
+  }
+
+  private amountFor(part: Part, ask: Ask): Resources {
+    if (ask.purpose === 'remainder') return this.remainderFor(part, ask);
+    return this.usable(part, ask.team, ask, this.needBeside(part, ask));
+  }
+
   private spareOf(part: PartId, team: TeamId, now: SteadyMs): Resources {
     const own = this.core.parts.get(part);
     if (own) return this.usable(own, team, UNLIMITED);
@@ -145,7 +233,7 @@
     const known = this.shares(ask.team);
     if (!part || !team || !known || this.pending.has(key) || ask.from === ask.to || !known.shares[ask.from])
       return;
-    const amount = this.usable(part, ask.team, ask);
+    const amount = this.amountFor(part, ask);
     if (RESOURCE_KINDS.every((kind) => amount[kind] <= 0)) return;
     this.pending.set(key, amount);
     const value = encodeShares(team, moveShare(known.shares, ask.to, ask.from, amount));
--- /dev/null
+++ b/src/quota/remainder.ts
@@ -0,0 +1,37 @@
+/**
+ * Remainders of a team's limit: what a part has left of its share when that is too little for any of its waiting tasks.
+ * They would be idle on several parts while together they were enough for a task. Pure.
+ *
+ * They move to the part with the lower number, whatever they come to, and to one with a higher number only if they
+ * complete the share of a task there. So pieces that are too small even together do not go back and forth.
+ */
+import { fits, mapResources, RESOURCE_KINDS, type Resources } from '../model/resources.js';
+import type { PartId } from '../units.js';
+
+export const fitsAny = (left: Resources, tasks: readonly Resources[]): boolean =>
+  tasks.some((task) => fits(task, left));
+
+/**
+ * What is missing for the task that comes closest to fitting, by the largest share of the limit; null: one fits, none
+ * waits, or machines of unknown size may be using more than there is.
+ */
+export function missingForOne(
+  left: Resources,
+  tasks: readonly Resources[],
+  limit: Resources,
+): Resources | null {
+  if (fitsAny(left, tasks)) return null;
+  let least: { missing: Resources; share: number } | null = null;
+  for (const task of tasks) {
+    const missing = mapResources((kind) => Math.max(0, task[kind] - left[kind]));
+    const share = Math.max(
+      ...RESOURCE_KINDS.map((kind) => (missing[kind] > 0 ? missing[kind] / limit[kind] : 0)),
+    );
+    if (!least || share < least.share) least = { missing, share };
+  }
+  return least && least.share < Infinity ? least.missing : null;
+}
+
+/** May a remainder go from `giver` to `asker`, which misses so much for one task? */
+export const mayMove = (giver: PartId, asker: PartId, left: Resources, missing: Resources): boolean =>
+  asker < giver || fits(missing, left);
--- a/test/waiting.test.ts
+++ b/test/waiting.test.ts
@@ -8,13 +8,16 @@
 import { chooseHandOver } from '../src/flock/overflow.js';
 import { chooseRepin, REPIN_AFTER, type Repin } from '../src/flock/repin.js';
 import { capacityFor, seededRandom, type Offer } from '../src/flock/willing.js';
+import { UNLIMITED, ZERO } from '../src/model/resources.js';
 import { newMachine, Part, syncJob, type PartJob } from '../src/parts/model.js';
 import { planRound } from '../src/placement/plan.js';
-import type { PlanContext } from '../src/placement/round.js';
+import { OVERDUE_AFTER, type PlanContext } from '../src/placement/round.js';
 import { RangeSet } from '../src/ranges.js';
-import type { PartId, SteadyMs, ZoneId } from '../src/units.js';
+import type { PartId, SteadyMs, TeamId, ZoneId } from '../src/units.js';
+import { settle } from './standins/clock.js';
+import { deskOf } from './standins/desk.js';
 import { IdleWatch } from './standins/idle-watch.js';
-import { plainSpec } from './standins/spec.js';
+import { plainSpec, plainTeam } from './standins/spec.js';
 import { World, type JobOptions } from './standins/world.js';
 
 const NOW = 1_000_000 as SteadyMs;
@@ -226,3 +229,127 @@
     assert.ok(watch.longest < LEFT_WAITING, `${watch.longestJob} waited ${watch.longest} ms for nothing`);
   });
 }
+
+/** What the task says: the largest jobs of each class begin within this time, in milliseconds. */
+const LARGEST_BEGIN = 240_000;
+
+/** More work than room: small jobs of both teams and ranks all the time; the large ones come amid them. */
+async function overload(
+  w: World,
+  forMs: number,
+  gapMs: number,
+  large: readonly (readonly [string, JobOptions])[],
+): Promise<void> {
+  const from = w.clock.now();
+  let next = 0;
+  let sent = 0;
+  for (let at = 0; at < forMs; at += gapMs) {
+    const kind = next % 4;
+    const rank = kind < 2 ? 'urgent' : 'standard';
+    const small = { tasks: 1 + (next % 2), runMs: 6000, team: kind % 2 === 0 ? 'red' : 'blue', rank };
+    void w.request(next % 3, 'POST', '/v2/runs', w.submission(`req-${1000 + next}`, small));
+    const due = at >= 18_000 + 4000 * sent ? large[sent] : undefined;
+    if (due) sent += 1;
+    if (due) await w.submit(next % 3, due[0], due[1]);
+    next += 1;
+    await w.step(Math.max(0, from + at + gapMs - w.clock.now()));
+  }
+}
+
+test('more work than room, urgent and not, over slow links: the largest begin in time, nobody is left out', async () => {
+  // Each task costs more time over slow links: as much more work than room in both.
+  for (const [linkMs, gapMs] of [
+    [1, 600],
+    [300, 670],
+  ] as const) {
+    const w = await worldWith('east', 'east', 'west', 'west');
+    w.linkMs = linkMs;
+    const large: [string, JobOptions][] = ['standard', 'urgent', 'best_effort'].flatMap((rank, i) => [
+      [`req-${10 + i}`, { tasks: 30, runMs: 15_000, team: 'red', rank }] as [string, JobOptions],
+      [`req-${20 + i}`, { tasks: 2, cpus: 8, runMs: 15_000, team: 'blue', rank }] as [string, JobOptions],
+    ]);
+    await overload(w, 300_000, gapMs, large);
+    const begun = large.map(([id]) => {
+      const asked = w.lines.find((l) => l.includes(` POST /${id} `)) ?? '';
+      const first = w.lines.find((l) => l.includes(` runs ${id}/`));
+      return first ? Math.round(Number(first.slice(0, 7)) - Number(asked.slice(0, 7))) : Infinity;
+    });
+    assert.deepEqual(w.broken, []);
+    assert.ok(Math.max(...begun) * 1000 <= LARGEST_BEGIN, `${linkMs}: begun after ${begun.join(', ')} s`);
+    for (const [what, share] of served(w))
+      assert.ok(share >= 0.5, `${linkMs}: of ${what} ${share.toFixed(2)} was served`);
+  }
+});
+
+/** Of each team's jobs, the share of which some task has begun. */
+function served(w: World): Map<string, number> {
+  const begun = new Set(w.lines.flatMap((l) => / runs (\S+)\/\d+$/.exec(l)?.[1] ?? []));
+  const counts = new Map<string, { all: number; begun: number }>();
+  for (const [id, job] of w.jobs) {
+    const c = counts.get(job.team) ?? { all: 0, begun: 0 };
+    counts.set(job.team, { all: c.all + 1, begun: c.begun + (begun.has(id) ? 1 : 0) });
+  }
+  return new Map([...counts].map(([what, c]) => [what, c.begun / c.all]));
+}
+
+const RED = 'red' as TeamId;
+
+test('an overdue task that needs more of its team’s limit than is free keeps smaller ones of the team from it', () => {
+  const { part, job } = partWith(3, { id: 'req-small', tasks: 20, cpus: 2 }, [[0, 20, 0, null]]);
+  (job as { firstSeen: SteadyMs }).firstSeen = NOW;
+  const record = {
+    spec: plainSpec({ id: 'req-large', cpus: 8 }),
+    home: 0,
+    assignments: [{ from: 0, to: 1, part: 0, zone: null }],
+    done: RangeSet.empty(),
+  } as never;
+  const starts = (ageMs: number): string[] => {
+    part.jobs.delete('req-large' as never);
+    syncJob(part, record, 2 as never, NOW, false, ageMs as never);
+    const plan = planRound(part, {
+      now: NOW,
+      types: TYPES,
+      teams: new Map(),
+      share: () => ({ ...UNLIMITED, cpus: 7, gpus: 0 }),
+      usedElsewhere: () => ZERO,
+      guaranteed: () => false,
+      peerHasRoom: () => false,
+      latest: () => 1,
+      correction: () => 1,
+      reportMs: 1500,
+    });
+    part.gathering = plan.gathering;
+    return plan.starts.map((s) => s.job.id);
+  };
+  assert.equal(starts(1000).length, 3);
+  assert.equal(part.gathering.size, 0);
+  assert.deepEqual(starts(OVERDUE_AFTER + 1), []);
+  assert.deepEqual([...part.gathering], [[RED, { cpus: 8, gpus: 0, memoryGb: 1 }]]);
+});
+
+test('pieces of a limit that are too small for any task gather on one part, the lower number first', async () => {
+  const red = plainTeam({ cpus: 12, cpusMax: 24 });
+  const parts = [0, 1].map((id) => {
+    const part = new Part(id as PartId, 1 as never, 1 as never, 0 as SteadyMs, TYPES);
+    part.accounted = true;
+    const assignments = [{ from: 0, to: 10, part: id, zone: null }];
+    const spec = plainSpec({ id: `req-${id}`, tasks: 10, cpus: 9 });
+    syncJob(part, { spec, assignments, done: RangeSet.empty() } as never, 2 as never, NOW, false);
+    return part;
+  });
+  const [first, second] = parts as [Part, Part];
+  let now = NOW as number;
+  const desk = deskOf(red, parts, 3, () => (now += 1000));
+  const shares = async (): Promise<number[]> => {
+    await settle();
+    return [first, second].map((p) => desk.share(p.id, RED).cpus);
+  };
+  const ask = { cpus: 90, gpus: 0, memoryGb: 10 };
+  desk.request(first, RED, ask);
+  assert.deepEqual(await shares(), [8, 8], 'both have tasks that wait: neither gives');
+  second.gathering = first.gathering = new Map([[RED, { cpus: 9, gpus: 0, memoryGb: 1 }]]);
+  desk.request(second, RED, ask);
+  assert.deepEqual(await shares(), [8, 8], 'the first gathers itself');
+  desk.request(first, RED, ask);
+  assert.deepEqual(await shares(), [9, 7]);
+});
