--- a/src/jobs/lookup-batcher.ts
+++ b/src/jobs/lookup-batcher.ts
@@ -96,13 +96,19 @@
   private async runBatches(): Promise<void> {
     if (this.running) return;
     this.running = true;
-    while (this.otherQueries.size + this.activeQueries.size > 0) {
-      await this.context.sleep(this.batchInterval);
-      await this.answerActive([...this.activeQueries.values()]);
-      const batch = this.nextBatch();
-      if (batch.length > 0) await this.checkBatch(batch);
+    try {
+      while (this.otherQueries.size + this.activeQueries.size > 0) await this.runBatch();
+    } finally {
+      // Whatever fails here must not keep later questions waiting for ever.
+      this.running = false;
     }
-    this.running = false;
+  }
+
+  private async runBatch(): Promise<void> {
+    await this.context.sleep(this.batchInterval);
+    await this.answerActive([...this.activeQueries.values()]);
+    const batch = this.nextBatch();
+    if (batch.length > 0) await this.checkBatch(batch);
   }
 
   private nextBatch(): Query[] {
