--- a/src/workers/report-handler.ts
+++ b/src/workers/report-handler.ts
@@ -60,7 +60,11 @@
       this.outranked(part, now);
       return { status: 421, body: encodeRedirect(null) };
     }
-    if (!this.core.authority(now) || this.isUnreachable(part, machine, report, now)) return NOT_ENTITLED;
+    if (!this.core.authority(now)) return NOT_ENTITLED;
+    if (this.isUnreachable(part, machine, report, now)) {
+      machine.refusedDeaf = now;
+      return NOT_ENTITLED;
+    }
     if (!applyReport(part, machine, report, 'report', this.updates.reportContext(now))) return NOT_ENTITLED;
     const orders = ordersInAnswer(part, machine);
     if (!machine.settled) {
