--- a/src/flock/overflow.ts
+++ b/src/flock/overflow.ts
@@ -84,8 +84,8 @@
 }
 
 /** The tasks have waited for room in their zone, and no part has any there. */
-function moveZone(core: Core, part: Part, job: PartJob, stuck: ZoneId, now: SteadyMs): HandOver | null {
-  const move = chooseRepin(part.id, job, stuck, {
+function moveZone(core: Core, part: Part, job: PartJob, fromZone: ZoneId, now: SteadyMs): HandOver | null {
+  const move = chooseRepin(part.id, job, fromZone, {
     now,
     homeZone: zoneOfPart(core, part.id),
     zones: core.settings.zones,
--- a/src/flock/repin.ts
+++ b/src/flock/repin.ts
@@ -51,22 +51,22 @@
 /** A job that asks both for one zone and to be spread stays where it was put: half of it, in one zone. */
 const mayMove = (spec: JobSpec): boolean => spec.zone === null && spec.spread !== spec.oneZone;
 
-/** The best move for the tasks that wait in `stuck`, or null: nowhere else is room that the job may use. */
-export function chooseRepin(part: PartId, job: PartJob, stuck: ZoneId, ctx: RepinContext): Repin | null {
+/** The best move for the tasks that wait in `fromZone`, or null: nowhere else is room that the job may use. */
+export function chooseRepin(part: PartId, job: PartJob, fromZone: ZoneId, ctx: RepinContext): Repin | null {
   const { spec, waitingSince } = job;
   if (!mayMove(spec) || waitingSince === null || ctx.now - waitingSince < REPIN_AFTER) return null;
   if (!job.moving.isEmpty || !job.frozen.isEmpty) return null;
   const waiting = RangeSet.of(
     waitingRuns(job)
-      .filter((run) => run.zone === stuck)
+      .filter((run) => run.zone === fromZone)
       .map((run) => [run.from, run.to] as const),
   );
   const collector = spec.oneZone ? collectingPart(job) : null;
   if (collector !== null && collector !== part)
-    return { tasks: waiting, part: collector, zone: stuck, offer: null };
+    return { tasks: waiting, part: collector, zone: fromZone, offer: null };
   let best: { zone: ZoneId; offer: Offer; count: number } | null = null;
   for (const zone of eligibleZones(spec, ctx.zones, ctx.types)) {
-    if (zone === stuck) continue;
+    if (zone === fromZone) continue;
     const willing = willingList(ctx.offers.values(), ctx.homeZone, spec, zone, ctx.now, ctx.random)[0];
     if (!willing) continue;
     const allowed = allowance(job, zone);
--- a/src/parts/machine.ts
+++ b/src/parts/machine.ts
@@ -102,7 +102,7 @@
   /** When we first answered a report of it that did not show our token yet. */
   answeredUnsettled: SteadyMs | null;
   /** Receipt of the last report that we refused because our answers do not reach the machine. */
-  refusedDeaf: SteadyMs | null;
+  refusedUnreachable: SteadyMs | null;
   /** No new tasks before this time: it refused, failed or could not be reached. */
   avoidUntil: SteadyMs;
   faults: { at: SteadyMs; job: JobId }[];
@@ -149,7 +149,7 @@
     unreachedSince: null,
     missedCalls: 0,
     answeredUnsettled: null,
-    refusedDeaf: null,
+    refusedUnreachable: null,
     avoidUntil: now,
     faults: [],
     draining: false,
--- a/src/parts/ownership.ts
+++ b/src/parts/ownership.ts
@@ -258,7 +258,8 @@
       const limit = Math.max(3.2 * this.core.reportMs, 4500);
       const machines = [...part.machines.values()].filter((m) => !m.returning && now - m.since > limit);
       // What we refuse because it does not hear us does reach us: a new owner would have to wait for it all over again.
-      const heardAt = (m: Machine): number => Math.max(m.lastReport ?? -Infinity, m.refusedDeaf ?? -Infinity);
+      const heardAt = (m: Machine): number =>
+        Math.max(m.lastReport ?? -Infinity, m.refusedUnreachable ?? -Infinity);
       const silent = machines.filter((m) => now - heardAt(m) > limit);
       if (machines.length < 2 || silent.length * 3 < machines.length * 2) continue;
       if (!this.othersDoBetter(part.id)) continue;
--- a/src/placement/plan.ts
+++ b/src/placement/plan.ts
@@ -157,7 +157,7 @@
     if (noLimit.length >= UNPLACED_SHOWN || plan.starts.length >= MAX_STARTS) break;
     if (!withinShare(job.spec, s, ctx)) {
       noLimit.push(index);
-      if (noLimit.length === 1) withholdShare(part, job, s, ctx, plan);
+      if (noLimit.length === 1) reserveShare(part, job, s, ctx, plan);
       if (job.spec.priority === Priority.critical) makeShare(part, job, noLimit.length, s, ctx, plan);
       else limited = true;
       continue;
@@ -247,7 +247,7 @@
  * The same for its team's limit: smaller tasks of the team would take each piece of this part's share that comes free.
  * One task's worth gathers, also from other parts, for one job of a team at a time.
  */
-function withholdShare(part: Part, job: PartJob, s: Scratch, ctx: PlanContext, plan: Plan): void {
+function reserveShare(part: Part, job: PartJob, s: Scratch, ctx: PlanContext, plan: Plan): void {
   const { spec } = job;
   if (plan.gathering.has(spec.team) || unbegunFor(part, job, ctx) <= RESERVE_AFTER) return;
   plan.gathering.set(
--- a/src/placement/victims.ts
+++ b/src/placement/victims.ts
@@ -42,7 +42,7 @@
 const PROMISE_WORTH = 20_000;
 const SEARCH_AGAIN = 700;
 /** How long a job that began long overdue is stopped for critical work only. */
-const SHELTERED_FOR = 60_000;
+const PROTECTED_FOR = 60_000;
 const MAX_FRUITLESS = 200;
 
 type SizeContext = Pick<PlanContext, 'now' | 'types'>;
@@ -87,10 +87,10 @@
  * A job that began long overdue went before guaranteed work: stopped for that at once, it would be placed first again,
  * and both would stop each other for good.
  */
-function isSheltered(part: Part, b: Binding, by: PartJob, ctx: PlanContext): boolean {
+function isProtected(part: Part, b: Binding, by: PartJob, ctx: PlanContext): boolean {
   const job = part.jobs.get(b.job);
   if (!job || by.spec.priority === Priority.critical || !job.record.done.isEmpty) return false;
-  return b.boundAt - job.firstSeen > OVERDUE_AFTER && ctx.now - b.boundAt < SHELTERED_FOR;
+  return b.boundAt - job.firstSeen > OVERDUE_AFTER && ctx.now - b.boundAt < PROTECTED_FOR;
 }
 
 /** Would its team without this task still use all of a guarantee that the task counts for? None: it is all borrowed. */
@@ -122,7 +122,7 @@
   const stoppable: Binding[] = [];
   const most = { ...room };
   for (const b of m.bindings.values()) {
-    if (!mayStop(b, job, guaranteed, s, ctx) || isSheltered(part, b, job, ctx)) continue;
+    if (!mayStop(b, job, guaranteed, s, ctx) || isProtected(part, b, job, ctx)) continue;
     stoppable.push(b);
     take(most, b.spec as JobSpec, -1);
   }
--- a/src/workers/report-handler.ts
+++ b/src/workers/report-handler.ts
@@ -62,7 +62,7 @@
     }
     if (!this.core.authority(now)) return NOT_ENTITLED;
     if (this.isUnreachable(part, machine, report, now)) {
-      machine.refusedDeaf = now;
+      machine.refusedUnreachable = now;
       return NOT_ENTITLED;
     }
     if (!applyReport(part, machine, report, 'report', this.updates.reportContext(now))) return NOT_ENTITLED;
