Simulation: gangs as the protocol describes them, in load, faults and judge

Tasks of one attempt gather, start together, run at the speed of the slowest machine, save together, complete together and lose each other (src/simulation/gangs.ts). Loads have the shape gang, most random schedules one, with faults that meet a gang as it gathers and as it runs.

--- a/src/simulation/faults.ts
+++ b/src/simulation/faults.ts
@@ -20,6 +20,8 @@
   /** A controller's name, where one brought it about. */
   readonly node?: string;
   readonly keys?: readonly string[];
+  /** The machine that it concerns. */
+  readonly machine?: string;
 }
 
 /** One fault at the moment at which it begins. */
@@ -38,6 +40,7 @@
   readonly count?: number;
   readonly share?: number;
   readonly zone?: string;
+  readonly machine?: 'event';
 }
 
 /** Cancellations of `cancel_now` fall within a fifth of a second; at most so many machines hang with them. */
@@ -255,41 +258,43 @@
     }
   }
 
-  private machines(fault: MachineChoice, random: RandomStream, spotOnly = false): Machine[] {
-    const all = this.sim.machines
-      .all()
-      .filter(
-        (m) => (fault.zone === undefined || m.facts.zone === fault.zone) && (!spotOnly || m.facts.spot),
-      );
+  private machines(fault: MachineChoice, { event, random }: Cause, spotOnly = false): Machine[] {
+    const up = this.sim.machines.all();
+    const concerned = up.filter((m) => m.facts.id === event?.machine);
+    if (fault.machine === 'event' && concerned.length > 0) return concerned;
+    const all = up.filter(
+      (m) => (fault.zone === undefined || m.facts.zone === fault.zone) && (!spotOnly || m.facts.spot),
+    );
     const whole = fault.zone !== undefined && fault.count === undefined && fault.share === undefined;
     const number = fault.count ?? Math.ceil(all.length * (fault.share ?? 0));
     return whole ? all : random.sample(all, Math.max(1, number));
   }
 
-  private applyToMachines({ fault, random }: Cause): End | undefined {
+  private applyToMachines(cause: Cause): End | undefined {
+    const { fault } = cause;
     switch (fault.kind) {
       case 'machine_deaf':
       case 'machine_mute':
       case 'machine_cut':
-        return this.cutMachines(fault, random);
+        return this.cutMachines(fault, cause);
       case 'machine_hang':
-        for (const m of this.machines(fault, random)) m.worker.hang(fault.for_s * 1000);
+        for (const m of this.machines(fault, cause)) m.worker.hang(fault.for_s * 1000);
         return null;
       case 'machine_sick': {
-        const sick = this.machines(fault, random);
+        const sick = this.machines(fault, cause);
         for (const m of sick) m.worker.sick = true;
         return () => sick.forEach((m) => (m.worker.sick = false));
       }
       case 'machine_slow': {
-        const slow = this.machines(fault, random);
+        const slow = this.machines(fault, cause);
         for (const m of slow) m.worker.slowness = fault.times;
         return () => slow.forEach((m) => (m.worker.slowness = 1));
       }
       case 'machine_end':
-        for (const m of this.machines(fault, random)) this.sim.machines.fail(m);
+        for (const m of this.machines(fault, cause)) this.sim.machines.fail(m);
         return null;
       case 'spot_wave':
-        for (const m of this.machines(fault, random, true)) this.sim.machines.takeBack(m, fault.notice_s);
+        for (const m of this.machines(fault, cause, true)) this.sim.machines.takeBack(m, fault.notice_s);
         return null;
       default:
         return undefined;
@@ -298,9 +303,9 @@
 
   private cutMachines(
     fault: Extract<Fault, { kind: 'machine_deaf' | 'machine_mute' | 'machine_cut' }>,
-    random: RandomStream,
+    cause: Cause,
   ): () => void {
-    const hosts = new Set(this.machines(fault, random).map((m) => m.host));
+    const hosts = new Set(this.machines(fault, cause).map((m) => m.host));
     if (fault.kind === 'machine_cut') return this.cut(fault.mode, (a, b) => hosts.has(a) || hosts.has(b));
     const { links } = this.sim;
     const set = fault.kind === 'machine_deaf' ? links.deaf : links.mute;
--- a/src/simulation/generate.ts
+++ b/src/simulation/generate.ts
@@ -4,6 +4,8 @@
 
 const ZONES = ['fjord', 'ridge', 'marsh'];
 const TEAMS = ['atlas', 'tides'];
+/** How many of the schedules have gangs. */
+const GANG_SHARE = 0.8;
 /** Faults begin within this time; what comes after shows whether everything recovers. */
 const FAULTS_FROM_S = 12;
 const FAULTS_UNTIL_S = 75;
@@ -80,6 +82,35 @@
   (r) => ({ kind: 'surge', class: 'batch', times: r.pick([2, 4]), for_s: forS(r, 5, 20) }),
 ];
 
+/** Faults that meet a gang in each of its states. */
+const GANG_GENERATORS: readonly Generator[] = [
+  (r) => ({ kind: 'machine_end', ...gangEvent(r), machine: 'event' }),
+  (r) => ({ kind: 'machine_hang', ...gangEvent(r), machine: 'event', for_s: forS(r, 1, 25) }),
+  (r) => ({ kind: 'machine_cut', ...gangEvent(r), machine: 'event', mode: modeOf(r), for_s: forS(r, 3, 30) }),
+  (r) => ({ kind: 'machine_deaf', ...gangEvent(r), machine: 'event', for_s: forS(r, 3, 30) }),
+  (r) => ({ kind: 'machine_sick', ...gangEvent(r), machine: 'event', for_s: forS(r, 3, 20) }),
+  (r) => ({ kind: 'cancel_now', ...gangEvent(r), count: r.whole(2, 8), hang_s: r.pick([0, 10]) }),
+  (r, d) => ({ kind: 'controller_end', ...gangEvent(r), node: nodeOf(r, d), restart_s: r.pick([0.2, 6]) }),
+  (r) => ({ kind: 'all_controllers_end', ...gangEvent(r), restart_s: r.pick([0.3, 4]) }),
+  (r) => ({ kind: 'spot_wave', ...gangEvent(r), share: 1, notice_s: r.pick([0, 4, 12]) }),
+  (r) => ({ kind: 'late_commands', ...gangEvent(r), share: r.pick([0.3, 0.8]), for_s: forS(r, 4, 20) }),
+];
+
+function gangEvent(r: RandomStream): Pick<FaultInput, 'on' | 'nth' | 'after_ms'> {
+  return {
+    on: r.pick(['gang_gathers', 'gang_started']),
+    nth: r.whole(1, 6),
+    after_ms: r.pick([0, 5, 300, 3000]),
+  };
+}
+
+function gangFaultsOf(r: RandomStream, d: Deployment): FaultInput[] {
+  return Array.from({ length: r.whole(0, 2) }, () => ({
+    ...r.pick(GANG_GENERATORS)(r, d),
+    at_s: Math.round(r.between(FAULTS_FROM_S, FAULTS_UNTIL_S - 30) * 100) / 100,
+  }));
+}
+
 function deploymentOf(r: RandomStream): Deployment {
   const zones = ZONES.slice(0, r.whole(1, 3));
   const controllers = Array.from({ length: r.whole(2, 4) }, (_, i) => zones[i % zones.length] as string);
@@ -145,7 +176,36 @@
     spread: r.chance(0.4),
     same_zone: r.chance(0.2),
   };
-  return r.chance(0.7) ? [batch, service] : [batch];
+  const loads = r.chance(0.7) ? [batch, service] : [batch];
+  const gangs = r.fork('gangs');
+  return gangs.chance(GANG_SHARE) ? [...loads, gangLoadOf(gangs)] : loads;
+}
+
+function gangLoadOf(r: RandomStream): ScenarioInput['load'][number] {
+  return {
+    class: 'gang',
+    team: r.pick(TEAMS),
+    shape: 'gang',
+    priority: r.pick(['urgent', 'standard']),
+    tasks: r.pick([
+      [2, 4],
+      [4, 8],
+    ]),
+    cpus: r.pick([1, 2]),
+    run_s: r.pick([
+      [3, 10],
+      [20, 50],
+    ]),
+    image_gb: r.pick([0.3, 2]),
+    at_start: r.whole(1, 3),
+    per_minute: r.pick([4, 10]),
+    until_s: 110,
+    cancel_share: r.pick([0, 0.3]),
+    cancel_after_s: [0.5, 25],
+    spot: r.chance(0.4),
+    same_zone: r.chance(0.5),
+    ...(r.chance(0.7) ? { checkpoint_s: 5, save_s: r.pick([1, 3]) } : {}),
+  };
 }
 
 function faultsOf(r: RandomStream, d: Deployment): FaultInput[] {
@@ -172,9 +232,12 @@
   const random = new RandomStream(seed).fork('scenario');
   const deployment = base?.deployment ?? deploymentOf(random.fork('deployment'));
   const loads = base?.load ?? loadOf(random.fork('load'), deployment);
-  const usable = faultsOf(random.fork('faults'), deployment).filter(
-    (f) => f.kind !== 'surge' || loads.some((l) => l.class === f.class),
-  );
+  const gangs = loads.some((l) => l.shape === 'gang');
+  const faults = [
+    ...faultsOf(random.fork('faults'), deployment),
+    ...(gangs ? gangFaultsOf(random.fork('gang faults'), deployment) : []),
+  ];
+  const usable = faults.filter((f) => f.kind !== 'surge' || loads.some((l) => l.class === f.class));
   const input: ScenarioInput = {
     name: `fuzz-${seed}`,
     seed,
--- a/src/simulation/jobs.ts
+++ b/src/simulation/jobs.ts
@@ -5,7 +5,7 @@
   readonly id: string;
   readonly class: string;
   readonly team: string;
-  readonly shape: 'array' | 'service';
+  readonly shape: 'array' | 'gang' | 'service';
   readonly priority: UserPriority;
   readonly tasks: number;
   readonly cpus: number;
@@ -25,12 +25,14 @@
   readonly runS: number;
 }
 
+const SHAPES = { array: 'batch', gang: 'gang', service: 'standing' } as const;
+
 /** The body of a submission, in the words of PROTOCOL. */
 export const encodeSubmission = (job: UserJob): Record<string, unknown> => ({
   uid: job.id,
   lane: job.class,
   crew: job.team,
-  shape: job.shape === 'service' ? 'standing' : 'batch',
+  shape: SHAPES[job.shape],
   rank: job.priority,
   legs: job.tasks,
   vcpus: job.cpus,
@@ -52,7 +54,7 @@
 /** What workers look up: descriptions that users have uploaded, checkpoints and results, all kept outside machines. */
 export class JobStorage {
   readonly jobs = new Map<string, UserJob>();
-  /** Progress that was saved, in milliseconds of run time, by task. */
+  /** Progress that was saved, in milliseconds of run time, by task; that of a gang by its job. */
   readonly saved = new Map<string, number>();
   /** Tasks whose result is kept. */
   readonly results = new Set<string>();
--- a/src/simulation/judge.ts
+++ b/src/simulation/judge.ts
@@ -17,6 +17,7 @@
   'went_back',
   'nothing_ran',
   'left_waiting',
+  'gang_rejoined',
 ] as const;
 export type Rule = (typeof RULES)[number];
 
@@ -62,6 +63,8 @@
   lastAnswerAt: number;
   unansweredSince: number | null;
   roomSince: number | null;
+  /** All tasks of the gang run; false for other jobs. */
+  gangRuns: boolean;
 }
 
 const EPSILON = 1e-6;
@@ -76,7 +79,15 @@
 export class Judge implements Observer {
   readonly violations: Violation[] = [];
   /** Counted, not rules: starts after a confirmed cancellation, and accepted jobs that were malformed. */
-  readonly counts = { starts: 0, startsAfterCancel: 0, acceptedOdd: 0, accepted: 0, done: 0, cancelled: 0 };
+  readonly counts = {
+    starts: 0,
+    gangStarts: 0,
+    startsAfterCancel: 0,
+    acceptedOdd: 0,
+    accepted: 0,
+    done: 0,
+    cancelled: 0,
+  };
   onViolation: (v: Violation) => void = () => undefined;
   private readonly jobs = new Map<string, JobRecord>();
   private readonly broken = new Set<string>();
@@ -117,6 +128,7 @@
       lastAnswerAt: this.queue.now,
       unansweredSince: null,
       roomSince: null,
+      gangRuns: false,
     });
   }
 
@@ -141,9 +153,26 @@
     const record = this.jobs.get(jobOf(task));
     if (!record) return;
     if (record.on.get(task)?.id === machine.id) record.on.delete(task);
+    record.gangRuns = false;
     if (completed) record.completed.add(task);
   }
 
+  /** The machine that a task is on. */
+  machineOf(task: string): string | null {
+    return this.jobs.get(jobOf(task))?.on.get(task)?.id ?? null;
+  }
+
+  gangStarted(job: string): void {
+    const record = this.jobs.get(job);
+    if (record) record.gangRuns = true;
+    this.counts.gangStarts += 1;
+  }
+
+  /** Once a gang runs, a task that it has lost ends it: nobody waits for another. */
+  gangRejoined(job: string, task: string): void {
+    this.breaks('gang_rejoined', job, `${task} joins an attempt that had started`);
+  }
+
   private checkPlace(record: JobRecord, machine: MachineFacts, task: string): void {
     const { job } = record;
     const wrong = (why: string): void => this.breaks('wrong_place', task, `${task} on ${machine.id}: ${why}`);
@@ -274,16 +303,12 @@
       this.breaks('forgotten', job.id, `no question about ${job.id} is answered for 75 s after the faults`);
   }
 
-  /** No task of the job is anywhere, though a machine has had room for one and the team was under its limit. */
+  /**
+   * No task of the job is anywhere, though a machine has had room for one and the team was under its limit. A gang: it
+   * does not run, though there has been room for all of its tasks.
+   */
   private checkLeftWaiting(record: JobRecord, now: number, machines: readonly MachineView[]): void {
-    const held = machines.some((m) => m.holds.some((t) => jobOf(t) === record.job.id));
-    const could =
-      this.quietSince !== null &&
-      !held &&
-      record.on.size === 0 &&
-      !record.cancelRequested &&
-      this.underLimit(record.job, machines) &&
-      machines.some((m) => hasRoom(m, record.job));
+    const could = this.quietSince !== null && !record.cancelRequested && this.couldStart(record, machines);
     if (!could) {
       record.roomSince = null;
       return;
@@ -293,13 +318,16 @@
       this.breaks('left_waiting', record.job.id, `${record.job.id} waits for 90 s while there is room`);
   }
 
-  private underLimit(job: UserJob, machines: readonly MachineView[]): boolean {
+  private underLimit(record: JobRecord, machines: readonly MachineView[]): boolean {
+    const { job } = record;
     const limit = this.options.teams.find((t) => t.name === job.team);
-    let cpus = job.cpus;
-    let gpus = job.gpus;
+    // What a gang holds itself is among its tasks already.
+    const tasks = job.shape === 'gang' ? job.tasks : 1;
+    let cpus = job.cpus * tasks;
+    let gpus = job.gpus * tasks;
     for (const task of machines.flatMap((m) => m.holds)) {
       const other = this.jobs.get(jobOf(task))?.job;
-      if (other?.team !== job.team) continue;
+      if (other?.team !== job.team || other === job) continue;
       cpus += other.cpus;
       gpus += other.gpus;
     }
@@ -307,6 +335,14 @@
     return limit !== undefined && under(cpus, limit.cpusMax) && under(gpus, limit.gpusMax);
   }
 
+  private couldStart(record: JobRecord, machines: readonly MachineView[]): boolean {
+    const { job } = record;
+    if (!this.underLimit(record, machines)) return false;
+    if (job.shape === 'gang') return !record.gangRuns && roomForGang(job, machines);
+    const held = machines.some((m) => m.holds.some((t) => jobOf(t) === job.id));
+    return !held && record.on.size === 0 && machines.some((m) => slotsFor(m, job) > 0);
+  }
+
   /** The end of the simulation. */
   finish(): void {
     if (this.counts.starts === 0 && this.counts.accepted > 0)
@@ -314,10 +350,25 @@
   }
 }
 
-function hasRoom(m: MachineView, job: UserJob): boolean {
+/** How many tasks of the job the machine has room for, those of the job that are there already included. */
+function slotsFor(m: MachineView, job: UserJob): number {
   const { facts, free } = m;
-  if (job.types && !job.types.includes(facts.type)) return false;
-  if (job.zone !== null && job.zone !== facts.zone) return false;
-  if (facts.spot && !job.spot) return false;
-  return free.cpus >= job.cpus && free.gpus >= job.gpus && free.memoryGb >= job.memoryGb;
+  if (job.types && !job.types.includes(facts.type)) return 0;
+  if (job.zone !== null && job.zone !== facts.zone) return 0;
+  if (facts.spot && !job.spot) return 0;
+  const fit = (has: number, needs: number): number =>
+    needs > 0 ? Math.floor(has / needs + EPSILON) : Infinity;
+  const more = Math.min(fit(free.cpus, job.cpus), fit(free.gpus, job.gpus), fit(free.memoryGb, job.memoryGb));
+  return more + m.holds.filter((t) => jobOf(t) === job.id).length;
+}
+
+/** Room for all tasks of a gang, in one zone if it asks for that, spread over zones if it asks for that. */
+function roomForGang(job: UserJob, machines: readonly MachineView[]): boolean {
+  const byZone = new Map<string, number>();
+  for (const m of machines)
+    byZone.set(m.facts.zone, (byZone.get(m.facts.zone) ?? 0) + Math.min(job.tasks, slotsFor(m, job)));
+  const zones = [...byZone.values()];
+  if (job.sameZone) return zones.some((slots) => slots >= job.tasks);
+  const most = job.spread ? Math.ceil(job.tasks / 2) : job.tasks;
+  return zones.reduce((sum, slots) => sum + Math.min(most, slots), 0) >= job.tasks;
 }
--- a/src/simulation/machines.ts
+++ b/src/simulation/machines.ts
@@ -4,6 +4,7 @@
 import type { Cloud, CloudMachine } from './cloud.js';
 import type { ControllerNode } from './controllers.js';
 import type { Defects } from './defects.js';
+import type { Gangs } from './gangs.js';
 import type { JobStorage } from './jobs.js';
 import type { MachineView } from './judge.js';
 import type { Network, Response } from './network.js';
@@ -56,6 +57,7 @@
   readonly trace: Trace;
   readonly observer: Observer;
   readonly storage: JobStorage;
+  readonly gangs: Gangs;
   readonly nodes: readonly ControllerNode[];
   readonly times: WorkerTimes;
   readonly defects: Defects;
--- a/src/simulation/observer.ts
+++ b/src/simulation/observer.ts
@@ -31,6 +31,10 @@
   taskStarted(machine: MachineFacts, task: string): void;
   /** It exited, was killed, or the machine is gone. */
   taskEnded(machine: MachineFacts, task: string, completed: boolean): void;
+  /** All tasks of a gang run. */
+  gangStarted(job: string): void;
+  /** A task has joined an attempt of its gang that had started already, where nobody waits for it. */
+  gangRejoined(job: string, task: string): void;
   jobSubmitted(job: UserJob): void;
   cancelRequested(job: string): void;
   answered(answer: UserAnswer): void;
--- a/src/simulation/scenario.ts
+++ b/src/simulation/scenario.ts
@@ -22,6 +22,9 @@
   report_s: v.optional(positive, 2),
   lease_s: v.optional(positive, 14),
   cancel_s: v.optional(positive, 34),
+  /** How long a gang's task waits for the others, and within which time it notices that one is gone. */
+  gang_wait_s: v.optional(positive, 20),
+  gang_peer_s: v.optional(positive, 5),
   max_connections: v.optional(count, 1500),
   /** Operators' properties, one a line. */
   properties: v.optional(v.string('a text'), ''),
@@ -85,7 +88,7 @@
 const load = v.strictObject({
   class: name,
   team: name,
-  shape: v.optional(v.picklist(['array', 'service'], 'array or service'), 'array'),
+  shape: v.optional(v.picklist(['array', 'gang', 'service'], 'array, gang or service'), 'array'),
   priority: v.optional(v.picklist(['critical', 'urgent', 'standard', 'best_effort']), 'standard'),
   tasks: v.optional(range, [1, 1]),
   cpus: v.optional(positive, 1),
@@ -117,6 +120,8 @@
   'cancel_confirmed',
   'job_done',
   'task_started',
+  'gang_gathers',
+  'gang_started',
   'controller_started',
   'controller_ended',
 ] as const;
@@ -132,8 +137,13 @@
 const lasting = { ...timing, for_s: v.optional(amount, 10) };
 /** A controller by its number, or the one of the event; none: any. */
 const oneNode = { node: v.optional(v.union([whole, v.literal('event')], 'a number or "event"')) };
-/** Machines by number, share or zone; none: one. */
-const some = { count: v.optional(count), share: v.optional(share), zone: v.optional(name) };
+/** Machines by number, share or zone, or the one that the event concerns; none: one. */
+const some = {
+  count: v.optional(count),
+  share: v.optional(share),
+  zone: v.optional(name),
+  machine: v.optional(v.literal('event', '"event"')),
+};
 const mode = { mode: v.optional(v.picklist(['drop', 'hold', 'refuse'], 'drop, hold or refuse'), 'hold') };
 
 const kind = <K extends string, T extends v.ObjectEntries>(k: K, entries: T) =>
--- a/src/simulation/settings-text.ts
+++ b/src/simulation/settings-text.ts
@@ -18,7 +18,13 @@
     facts: {
       zones: d.zones,
       teams: d.teams,
-      workers: { report_s: d.report_s, lease_s: d.lease_s, cancel_s: d.cancel_s },
+      workers: {
+        report_s: d.report_s,
+        lease_s: d.lease_s,
+        cancel_s: d.cancel_s,
+        gang_wait_s: d.gang_wait_s,
+        gang_peer_s: d.gang_peer_s,
+      },
       state: d.state,
       cloud: { rps: d.cloud.rps, list_lag_s: d.cloud.list_lag_s },
       quota: { max_connections: d.max_connections },
--- a/src/simulation/simulation.ts
+++ b/src/simulation/simulation.ts
@@ -10,6 +10,7 @@
 import { ControllerNode, type Surroundings } from './controllers.js';
 import type { Defect, Defects } from './defects.js';
 import { FaultSchedule } from './faults.js';
+import { Gangs } from './gangs.js';
 import { JobStorage } from './jobs.js';
 import { Judge, type Rule, type Violation } from './judge.js';
 import { LoadBalancer } from './load-balancer.js';
@@ -99,6 +100,7 @@
       trace: this.trace,
       observer,
       storage: this.storage,
+      gangs: this.buildGangs(observer),
       nodes: this.nodes,
       times: { reportMs: deployment.report_s * 1000, leaseMs: deployment.lease_s * 1000 },
       defects,
@@ -165,6 +167,18 @@
     return judge;
   }
 
+  private buildGangs(observer: Observer): Gangs {
+    const { gang_wait_s, gang_peer_s } = this.scenario.deployment;
+    return new Gangs({
+      queue: this.queue,
+      random: this.random.fork('gangs'),
+      storage: this.storage,
+      trace: this.trace,
+      observer,
+      times: { waitMs: gang_wait_s * 1000, peerMs: gang_peer_s * 1000 },
+    });
+  }
+
   private buildNodes(): ControllerNode[] {
     const { deployment } = this.scenario;
     const random = this.random.fork('clocks');
@@ -210,12 +224,20 @@
     return {
       taskStarted: (machine: MachineFacts, task: string) => {
         judge.taskStarted(machine, task);
-        this.faults.happened({ name: 'task_started' });
+        this.faults.happened({ name: 'task_started', machine: machine.id });
+        if (this.storage.jobOf(task)?.shape === 'gang')
+          this.faults.happened({ name: 'gang_gathers', machine: machine.id });
       },
       taskEnded: (machine: MachineFacts, task: string, done: boolean) => {
         judge.taskEnded(machine, task, done);
         if (done) this.countCompleted(task);
       },
+      gangStarted: (job) => {
+        judge.gangStarted(job);
+        const machine = judge.machineOf(`${job}/0`);
+        this.faults.happened({ name: 'gang_started', ...(machine === null ? {} : { machine }) });
+      },
+      gangRejoined: (job, task) => judge.gangRejoined(job, task),
       jobSubmitted: (job) => judge.jobSubmitted(job),
       cancelRequested: (job) => judge.cancelRequested(job),
       answered: (answer) => judge.answered(answer),
--- a/src/simulation/worker.ts
+++ b/src/simulation/worker.ts
@@ -3,6 +3,7 @@
 import type { EventQueue, Host, Scheduled } from './clock.js';
 import type { Defects } from './defects.js';
 import { ImageCache } from './image-cache.js';
+import type { GangAttempt, GangExit, GangMember, Gangs } from './gangs.js';
 import type { JobStorage, UserJob } from './jobs.js';
 import type { Response } from './network.js';
 import type { MachineFacts, Observer } from './observer.js';
@@ -22,19 +23,21 @@
   readonly orders?: readonly Order[];
 }
 
-type ExitCause = 'done' | 'halted' | 'error' | 'full' | 'busy' | 'unknown';
+type ExitCause = GangExit | 'error' | 'full' | 'busy' | 'unknown';
 
 interface Task {
   readonly name: string;
   readonly attempt: number;
   readonly job: UserJob | null;
-  status: 'pulling' | 'running' | 'saving' | 'exited';
+  status: 'pulling' | 'gathering' | 'running' | 'saving' | 'exited';
   cause: ExitCause | null;
   saved: boolean;
   /** When the present run began, and how much was saved before it, in milliseconds. */
   runningSince: number;
   progressBefore: number;
   timer: Scheduled | null;
+  /** Its place among the tasks of its gang, once it has its image. */
+  gang: { readonly attempt: GangAttempt; readonly member: GangMember } | null;
 }
 
 export interface WorkerTimes {
@@ -51,6 +54,7 @@
   readonly trace: Trace;
   readonly observer: Observer;
   readonly storage: JobStorage;
+  readonly gangs: Gangs;
   readonly controllers: readonly string[];
   readonly times: WorkerTimes;
   readonly defects: Defects;
@@ -261,6 +265,7 @@
       runningSince: 0,
       progressBefore: 0,
       timer: null,
+      gang: null,
     };
     this.tasks.set(key, task);
     if (!job) return this.exit(task, 'unknown');
@@ -277,6 +282,7 @@
   private begin(task: Task): void {
     const { observer, storage, queue, trace } = this.around;
     if (task.status !== 'pulling') return;
+    if (task.job?.shape === 'gang') return this.gather(task, task.job);
     task.status = 'running';
     task.runningSince = queue.now;
     task.progressBefore = storage.saved.get(task.name) ?? 0;
@@ -286,6 +292,46 @@
     this.noteChange();
   }
 
+  /** The image is here: the task is on the machine, and waits for the others of its gang. */
+  private gather(task: Task, job: UserJob): void {
+    const { observer, storage, trace, random, gangs } = this.around;
+    task.status = 'gathering';
+    trace.add(`${this.facts.id} has ${task.name} (attempt ${task.attempt})`);
+    observer.taskStarted(this.facts, task.name);
+    this.noteChange();
+    if (storage.results.has(task.name)) return this.finishSoon(task, 'done', 0);
+    if (this.sick) this.finishSoon(task, 'error', random.between(200, ERROR_AFTER_MS));
+    const attempt = gangs.attempt(job, task.attempt);
+    const member = this.gangMember(task);
+    task.gang = { attempt, member };
+    attempt.join(member);
+  }
+
+  private gangMember(task: Task): GangMember {
+    const { slowness } = this;
+    const { host } = this;
+    const show = (status: 'running' | 'saving'): void => {
+      if (task.status === 'exited') return;
+      task.status = status;
+      this.noteChange();
+    };
+    return {
+      task: task.name,
+      slowness,
+      get hanging() {
+        return host.paused;
+      },
+      run: () => show('running'),
+      save: () => show('saving'),
+      exit: (cause, saved) => {
+        if (task.status === 'exited') return;
+        task.saved = saved;
+        this.exit(task, cause);
+      },
+      after: (delayMs, run) => host.after(delayMs, run),
+    };
+  }
+
   /** Sets the timer of what comes next: completion, failure, or the next checkpoint. */
   private arm(task: Task): void {
     const { storage, defects, random } = this.around;
@@ -311,6 +357,7 @@
   private kill(task: Task, graceS: number): void {
     const { job } = task;
     if (this.around.defects.has('worker-ignores-stops')) return;
+    if (task.gang) return task.gang.attempt.stop(task.gang.member, graceS);
     const saves = task.status === 'running' && job && job.checkpointS > 0 && graceS >= job.saveS;
     if (!saves) {
       if (task.status !== 'saving' || graceS <= 0) this.exit(task, 'halted');
@@ -340,8 +387,9 @@
     task.timer?.cancel();
     if (task.status === 'pulling' && task.job)
       this.images.abandon(task.job.image, `${task.name}#${task.attempt}`);
-    if (task.status !== 'running' && task.status !== 'saving') return;
-    if (task.status === 'running' && task.job && task.job.checkpointS > 0) {
+    if (task.status === 'pulling' || task.status === 'exited') return;
+    task.gang?.attempt.leave(task.gang.member);
+    if (task.status === 'running' && !task.gang && task.job && task.job.checkpointS > 0) {
       const interval = task.job.checkpointS * 1000;
       const kept = Math.floor(this.progress(task) / interval) * interval;
       storage.saved.set(task.name, Math.max(storage.saved.get(task.name) ?? 0, kept));
@@ -358,11 +406,13 @@
     const from = queue.now;
     this.hangingSince = from;
     this.host.pause(duration);
+    for (const { gang } of this.tasks.values()) gang?.attempt.hang(gang.member);
     this.host.after(duration, () => {
       this.hangingSince = null;
       this.expire();
       for (const t of this.tasks.values()) {
-        if (t.status !== 'running') continue;
+        t.gang?.attempt.resume();
+        if (t.status !== 'running' || t.gang) continue;
         t.timer?.cancel();
         t.runningSince += queue.now - from;
         this.rearm(t);
--- /dev/null
+++ b/test/gang-model.test.ts
@@ -0,0 +1,333 @@
+/** The simulator's gangs: each row of the page that describes them, and what its judge says of controllers that ignore it. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { EventQueue, Host } from '../src/simulation/clock.js';
+import { Gangs } from '../src/simulation/gangs.js';
+import { JobStorage, type UserJob } from '../src/simulation/jobs.js';
+import { Judge, type Rule } from '../src/simulation/judge.js';
+import type { Observer } from '../src/simulation/observer.js';
+import { RandomStream } from '../src/simulation/random.js';
+import { Trace } from '../src/simulation/trace.js';
+import { Worker } from '../src/simulation/worker.js';
+
+const WAIT_MS = 20_000;
+const PEER_MS = 5000;
+const CHECKPOINT_S = 5;
+const SAVE_S = 2;
+const JOB = 'req-1';
+
+interface ReportedTask {
+  readonly leg: string;
+  readonly sailing: number;
+  readonly status: string;
+  readonly cause?: string;
+  readonly saved?: boolean;
+}
+
+/** Workers without controllers: the test gives the orders. */
+class Workers {
+  readonly queue = new EventQueue();
+  readonly storage = new JobStorage();
+  readonly judge = new Judge(this.queue, {
+    teams: [{ name: 'atlas', cpusMax: 100, gpusMax: 0 }],
+    cancelS: 30,
+    machines: () => [],
+  });
+  readonly workers = new Map<string, Worker>();
+  gangStarts = 0;
+  private readonly trace = new Trace(this.queue, true);
+  private readonly gangs: Gangs;
+
+  constructor(job: Partial<UserJob> = {}, machines = 4) {
+    const observer: Observer = {
+      taskStarted: (machine, task) => this.judge.taskStarted(machine, task),
+      taskEnded: (machine, task, done) => this.judge.taskEnded(machine, task, done),
+      gangStarted: (id) => {
+        this.gangStarts += 1;
+        this.judge.gangStarted(id);
+      },
+      gangRejoined: (id, task) => this.judge.gangRejoined(id, task),
+      jobSubmitted: () => undefined,
+      cancelRequested: () => undefined,
+      answered: () => undefined,
+    };
+    const { queue, storage, trace } = this;
+    const random = new RandomStream(7);
+    const times = { waitMs: WAIT_MS, peerMs: PEER_MS };
+    this.gangs = new Gangs({ queue, random, storage, trace, observer, times });
+    for (let i = 0; i < machines; i += 1)
+      this.addWorker(`m-${i}`, i === machines - 1 ? 'ridge' : 'fjord', observer);
+    const whole = { ...GANG, ...job };
+    storage.jobs.set(JOB, whole);
+    this.judge.jobSubmitted(whole);
+  }
+
+  private addWorker(id: string, zone: string, observer: Observer): void {
+    const facts = { id, type: 'birch', zone, spot: false, cpus: 8, gpus: 0, memoryGb: 32 };
+    const host = new Host(id, zone, this.queue);
+    const worker = new Worker(
+      facts,
+      host,
+      `${id}:9000`,
+      { gbPerS: 1000, cacheGb: 60 },
+      {
+        queue: this.queue,
+        random: new RandomStream(3),
+        trace: this.trace,
+        observer,
+        storage: this.storage,
+        gangs: this.gangs,
+        controllers: ['n0'],
+        times: { reportMs: 1000, leaseMs: 10_000 },
+        defects: new Set(),
+        // Every report is answered, with nothing to do.
+        report: () => Promise.resolve({ status: 200, body: { helm: 1, orders: [] } }),
+      },
+    );
+    this.workers.set(id, worker);
+  }
+
+  order(machine: string, order: 'launch' | 'kill', task: number, attempt: number, graceS = 0): void {
+    const orders = [{ order, leg: `${JOB}/${task}`, sailing: attempt, ebbS: graceS }];
+    const body = { helm: 1, watch: 1, orders };
+    const answer = this.workers.get(machine)?.serve({ method: 'POST', path: '/orders', body } as never);
+    assert.equal(answer?.status, 200);
+  }
+
+  /** Tasks 0, 1, ... on machines 0, 1, ... */
+  launchAll(attempt: number, tasks = GANG.tasks): void {
+    for (let i = 0; i < tasks; i += 1) this.order(`m-${i}`, 'launch', i, attempt);
+  }
+
+  async runTo(seconds: number): Promise<void> {
+    await this.queue.run(seconds * 1000);
+  }
+
+  reported(machine: string): readonly ReportedTask[] {
+    return (this.workers.get(machine)?.report() as { legs: readonly ReportedTask[] }).legs;
+  }
+
+  /** What the tasks' own machines say of them: the state, or the cause of their end. */
+  states(tasks = GANG.tasks): string[] {
+    return Array.from({ length: tasks }, (_, i) => {
+      const task = this.reported(`m-${i}`).find((t) => t.leg === `${JOB}/${i}`);
+      return task?.cause ?? task?.status ?? 'none';
+    });
+  }
+
+  progressS(): number {
+    return (this.storage.saved.get(JOB) ?? 0) / 1000;
+  }
+
+  rules(): Rule[] {
+    return this.judge.violations.map((v) => v.rule);
+  }
+}
+
+const GANG: UserJob = {
+  id: JOB,
+  class: 'gang',
+  team: 'atlas',
+  shape: 'gang',
+  priority: 'urgent',
+  tasks: 3,
+  cpus: 2,
+  gpus: 0,
+  memoryGb: 1,
+  types: null,
+  zone: null,
+  sameZone: false,
+  spread: false,
+  spot: false,
+  image: 'i',
+  imageGb: 0.1,
+  estimateS: 30,
+  checkpointS: CHECKPOINT_S,
+  saveS: SAVE_S,
+  runS: 30,
+};
+
+test('tasks gather, start together with the last of them, and complete together', async () => {
+  const w = new Workers();
+  w.launchAll(1, 2);
+  await w.runTo(8);
+  assert.deepEqual(w.states(), ['gathering', 'gathering', 'none']);
+  w.order('m-2', 'launch', 2, 1);
+  await w.runTo(10);
+  assert.deepEqual(w.states(), ['running', 'running', 'running']);
+  await w.runTo(37);
+  assert.deepEqual(w.states(), ['running', 'running', 'running']);
+  await w.runTo(39);
+  assert.deepEqual(w.states(), ['done', 'done', 'done']);
+  assert.equal(w.gangStarts, 1);
+});
+
+test('a gang runs at the speed of its slowest machine', async () => {
+  const w = new Workers();
+  const slow = w.workers.get('m-1');
+  assert.ok(slow);
+  slow.slowness = 2;
+  w.launchAll(1);
+  await w.runTo(50);
+  assert.deepEqual(w.states(), ['running', 'running', 'running']);
+  await w.runTo(61);
+  assert.deepEqual(w.states(), ['done', 'done', 'done']);
+});
+
+test('a gang that stays incomplete gives up, each task after its own wait', async () => {
+  const w = new Workers();
+  w.order('m-0', 'launch', 0, 1);
+  await w.runTo(5);
+  w.order('m-1', 'launch', 1, 1);
+  await w.runTo(21);
+  assert.deepEqual(w.states(), ['alone', 'gathering', 'none']);
+  await w.runTo(26);
+  assert.deepEqual(w.states(), ['alone', 'alone', 'none']);
+});
+
+test('before the start a task that is gone can be replaced under the same attempt', async () => {
+  const w = new Workers();
+  w.launchAll(1, 2);
+  await w.runTo(3);
+  w.workers.get('m-1')?.destroy();
+  await w.runTo(6);
+  assert.equal(w.states()[0], 'gathering');
+  w.order('m-2', 'launch', 2, 1);
+  w.order('m-3', 'launch', 1, 1);
+  await w.runTo(8);
+  assert.equal(w.gangStarts, 1);
+  assert.deepEqual(w.rules(), []);
+});
+
+test('a task that waits and is told to stop exits at once, and the others go on waiting', async () => {
+  const w = new Workers();
+  w.launchAll(1, 2);
+  await w.runTo(3);
+  w.order('m-1', 'kill', 1, 1, 30);
+  assert.deepEqual(w.states(), ['gathering', 'halted', 'none']);
+});
+
+test('a running gang that loses a task ends within the peer time, at its last checkpoint', async () => {
+  const w = new Workers();
+  w.launchAll(1);
+  await w.runTo(13);
+  w.workers.get('m-2')?.destroy();
+  await w.runTo(13.4);
+  assert.equal(w.states()[0], 'running', 'it runs on until it notices');
+  await w.runTo(18.2);
+  assert.deepEqual(w.states().slice(0, 2), ['peers', 'peers']);
+  assert.equal(w.progressS(), 10);
+});
+
+test('a machine that hangs for long ends its gang, also its own task; one that hangs for a moment delays it', async () => {
+  const long = new Workers();
+  long.launchAll(1);
+  await long.runTo(8);
+  long.workers.get('m-1')?.hang(7000);
+  await long.runTo(13.2);
+  assert.deepEqual([long.states()[0], long.states()[2]], ['peers', 'peers']);
+  await long.runTo(20.5);
+  assert.equal(long.states()[1], 'peers');
+  const short = new Workers();
+  short.launchAll(1);
+  await short.runTo(8);
+  short.workers.get('m-1')?.hang(300);
+  await short.runTo(30.2);
+  assert.deepEqual(short.states(), ['running', 'running', 'running']);
+  await short.runTo(31);
+  assert.deepEqual(short.states(), ['done', 'done', 'done']);
+});
+
+test('an orderly stop that reaches all in time saves everything, and the next attempt goes on from there', async () => {
+  const w = new Workers();
+  w.launchAll(1);
+  await w.runTo(9);
+  for (const i of [0, 1, 2]) {
+    w.order(`m-${i}`, 'kill', i, 1, SAVE_S);
+    await w.runTo(9 + i + 1);
+  }
+  assert.deepEqual(w.states(), ['saving', 'saving', 'saving'], 'the first waits for the others');
+  await w.runTo(13.5);
+  assert.deepEqual(w.states(), ['halted', 'halted', 'halted']);
+  assert.ok(w.reported('m-0').every((t) => t.saved));
+  assert.ok(
+    w.progressS() > 8.5 && w.progressS() < 9.1,
+    `progress ends with the first order: ${w.progressS()}`,
+  );
+  w.launchAll(2);
+  await w.runTo(33);
+  assert.deepEqual(
+    [0, 1, 2].map((i) => w.reported(`m-${i}`).find((t) => t.sailing === 2)?.status),
+    ['running', 'running', 'running'],
+  );
+  await w.runTo(35.5);
+  assert.ok([0, 1, 2].every((i) => w.reported(`m-${i}`).some((t) => t.cause === 'done')));
+});
+
+test('a stop that does not reach all in time, or comes with too little grace, falls back to the checkpoint', async () => {
+  const late = new Workers();
+  late.launchAll(1);
+  await late.runTo(9);
+  late.order('m-0', 'kill', 0, 1, SAVE_S);
+  late.order('m-1', 'kill', 1, 1, SAVE_S);
+  await late.runTo(13.8);
+  assert.deepEqual(late.states(), ['saving', 'saving', 'running']);
+  await late.runTo(19.2);
+  assert.equal(late.states()[2], 'peers');
+  assert.ok([0, 1, 2].every((i) => late.reported(`m-${i}`).every((t) => t.saved !== true)));
+  assert.equal(late.progressS(), 5);
+  const hasty = new Workers();
+  hasty.launchAll(1);
+  await hasty.runTo(9);
+  hasty.order('m-0', 'kill', 0, 1, SAVE_S / 2);
+  assert.equal(hasty.states()[0], 'halted');
+  await hasty.runTo(14.2);
+  assert.deepEqual(hasty.states(), ['halted', 'peers', 'peers']);
+  assert.equal(hasty.progressS(), 5);
+});
+
+test('a task of a gang whose result is kept exits with it as soon as it has its image', async () => {
+  const w = new Workers({ runS: 4 });
+  w.launchAll(1);
+  await w.runTo(6);
+  assert.deepEqual(w.states(), ['done', 'done', 'done']);
+  w.order('m-3', 'launch', 1, 9);
+  await w.runTo(7);
+  assert.equal(w.reported('m-3')[0]?.cause, 'done');
+  assert.deepEqual(w.rules(), []);
+});
+
+test('the judge reports a gang begun anew while an old task lives', async () => {
+  const w = new Workers();
+  w.launchAll(1);
+  await w.runTo(9);
+  w.workers.get('m-2')?.destroy();
+  await w.runTo(9.2);
+  w.order('m-3', 'launch', 0, 2);
+  await w.runTo(9.4);
+  assert.deepEqual(w.rules(), ['ran_twice']);
+});
+
+test('the judge reports a zone that a gang of one zone must not have, also while only old tasks are elsewhere', async () => {
+  const w = new Workers({ sameZone: true });
+  w.launchAll(1);
+  await w.runTo(9);
+  w.workers.get('m-0')?.destroy();
+  await w.runTo(9.2);
+  // m-3 is in another zone than the tasks of the old attempt that have not noticed yet.
+  w.order('m-3', 'launch', 0, 2);
+  await w.runTo(9.4);
+  assert.deepEqual(w.rules(), ['wrong_place']);
+});
+
+test('the judge reports a lost task of a running gang that is replaced', async () => {
+  const w = new Workers();
+  w.launchAll(1);
+  await w.runTo(9);
+  w.workers.get('m-2')?.destroy();
+  w.order('m-3', 'launch', 2, 1);
+  await w.runTo(9.4);
+  assert.deepEqual(w.rules(), ['gang_rejoined']);
+  await w.runTo(30);
+  assert.equal(w.reported('m-3')[0]?.cause, 'alone');
+});
--- a/test/simulation.test.ts
+++ b/test/simulation.test.ts
@@ -441,6 +441,31 @@
     broken: (b) => waitsBesideRoom(b, 2),
     sound: (b) => waitsBesideRoom(b, 1),
   },
+  {
+    rule: 'left_waiting',
+    name: 'a gang waits while there is room for all of it',
+    broken: (b) => waitsBesideRoom(b, 4, { shape: 'gang', tasks: 2 }),
+    sound: (b) => waitsBesideRoom(b, 3, { shape: 'gang', tasks: 2 }),
+  },
+  {
+    rule: 'left_waiting',
+    name: 'a gang gathers and never runs though there is room for all of it',
+    broken: (b) => gathersForLong(b, false),
+    sound: (b) => gathersForLong(b, true),
+  },
+  {
+    rule: 'gang_rejoined',
+    name: 'a task joins an attempt of its gang that had started',
+    broken: (b) => {
+      b.submit({ shape: 'gang' });
+      b.judge.gangStarted('req-1');
+      b.judge.gangRejoined('req-1', 'req-1/0');
+    },
+    sound: (b) => {
+      b.submit({ shape: 'gang' });
+      b.judge.gangStarted('req-1');
+    },
+  },
 ];
 
 function complete(b: Bench, tasks: number): void {
@@ -471,14 +496,26 @@
 }
 
 /** The machine next to it has room for that many CPUs; the job's tasks take two. */
-async function waitsBesideRoom(b: Bench, cpus: number): Promise<void> {
-  b.submit();
+async function waitsBesideRoom(b: Bench, cpus: number, job: Partial<UserJob> = {}): Promise<void> {
+  b.submit(job);
   b.answer('submit', 201, 'pending');
   b.judge.troubles(true);
   b.machines = [{ facts: b.machine('m-1'), free: { cpus, gpus: 0, memoryGb: 8 }, holds: [] }];
   await b.queue.run(100_000);
 }
 
+/** One of two tasks is on a machine, which has room for the other. */
+async function gathersForLong(b: Bench, runs: boolean): Promise<void> {
+  b.submit({ shape: 'gang' });
+  b.answer('submit', 201, 'pending');
+  b.judge.troubles(true);
+  const machine = b.machine('m-1');
+  b.judge.taskStarted(machine, 'req-1/0');
+  if (runs) b.judge.gangStarted('req-1');
+  b.machines = [{ facts: machine, free: { cpus: 2, gpus: 0, memoryGb: 8 }, holds: ['req-1/0'] }];
+  await b.queue.run(100_000);
+}
+
 test('the judge finds each broken rule in a history that breaks it, and nothing in its neighbour', async () => {
   for (const { rule, name, broken, sound } of HISTORIES) {
     const bad = new Bench();
