Gangs that wait for long: a limit's share for all, reserved places, machines of other pools

One gang's worth of a limit was never gathered (reserveShare and remainders knew single tasks), no room was kept for a gang while smaller tasks took each place, and a gang larger than its pool waited. Change: after 60 s a gang reserves its whole share (placement/reservations.ts, quota/desk.ts) and a place for each task where lesser work will leave; where the pool is too small even so, it asks one peer after another of its zone for machines (flock/machine-transfer.ts): empty ones change pools by one conditional write, others are emptied.

Second cause: an attempt whose start nobody had seen was taken for one that still gathers, when its machines lost their leases; the missing tasks were replaced under it and waited for nobody until they gave up. Now a task is replaced only once another task of the attempt has been seen to wait after the loss (model/gang.ts, mayHaveStarted).

--- a/src/controller.ts
+++ b/src/controller.ts
@@ -184,6 +184,7 @@
     if (now - this.lastReview >= REVIEW) {
       this.lastReview = now;
       for (const part of this.core.parts.values()) this.workers.expireLeases(part);
+      this.scheduler.transfers.expirePromises();
       this.fleet.review();
       this.workers.closeUnusedClients();
     }
@@ -219,8 +220,9 @@
   }
 
   private onMessage(raw: unknown): void {
-    const ask = receive(this.core, raw);
-    if (ask) void this.quota.answer(ask);
+    const request = receive(this.core, raw);
+    if (request?.kind === 'ask') void this.quota.answer(request);
+    if (request?.kind === 'machines') this.scheduler.transfers.answer(request);
     this.core.wake();
   }
 
--- /dev/null
+++ b/src/flock/machine-transfer.ts
@@ -0,0 +1,149 @@
+/**
+ * Machines change pools for a gang that is larger than every pool: its pool asks a peer, and the peer's owner gives
+ * machines that have come empty, each by one conditional write. A transferred machine holds nothing, and nothing that
+ * could still start a task is on its way to it, so its new owner counts it as new.
+ */
+import type { Core } from '../core.js';
+import { fits, isZero, slots, subtract, type Resources } from '../model/resources.js';
+import type { Machine, Part } from '../parts/model.js';
+import { machineKey, type MachineRecord } from '../parts/records.js';
+import { usable, type OversizedGang } from '../placement/round.js';
+import { Rank } from '../state/budget.js';
+import type { PartId, SteadyMs } from '../units.js';
+import { millis, plus, steady } from '../units.js';
+import type { MachineRequest } from './machine-request.js';
+import { zoneOfPart } from './news.js';
+
+/** Between two requests of a pool, in milliseconds. */
+const REQUEST_INTERVAL_MS = 2000;
+/** One peer is asked for so long before the next one is, in milliseconds. */
+const PEER_TURN_MS = 20_000;
+/** Without another request a machine takes work again after this time. */
+const PROMISE = millis(6000);
+
+/** Machines that are to go to the pool that asks: those that are empty go now, the others take no more work. */
+export interface TransferChoice {
+  readonly empty: readonly Machine[];
+  readonly emptying: readonly Machine[];
+}
+
+/** Nothing is on the machine, and no order that may still be carried out there is outstanding. */
+const isEmpty = (m: Machine): boolean => m.bindings.size === 0 && m.exited.size === 0 && !m.directBusy;
+
+/** Critical work does not end by itself. */
+const holdsCritical = (m: Machine): boolean => !isZero(subtract(m.used, m.lesser));
+
+/** Pure: which machines of the pool suit the request, those that were promised first, then the least used. */
+export function chooseTransfer(
+  part: Part,
+  request: MachineRequest,
+  core: Pick<Core, 'types' | 'reportMs'>,
+  now: SteadyMs,
+): TransferChoice {
+  const suits = (m: Machine): boolean => {
+    if (m.zone !== request.zone || (m.spot && !request.spot) || m.unknownSize > 0) return false;
+    if (request.types !== null && !request.types.includes(m.type)) return false;
+    return usable({ ...m, draining: false }, { now, reportMs: core.reportMs }) && !holdsCritical(m);
+  };
+  const capacityOf = (m: Machine): Resources | undefined => core.types.get(m.type);
+  const suitable = [...part.machines.values()].filter(suits);
+  suitable.sort((a, b) => Number(b.draining) - Number(a.draining) || a.used.cpus - b.used.cpus);
+  const chosen: Machine[] = [];
+  let missing = request.tasks;
+  for (const machine of suitable) {
+    if (missing <= 0) break;
+    const capacity = capacityOf(machine);
+    if (!capacity || !fits(request, capacity)) continue;
+    missing -= slots(capacity, request);
+    chosen.push(machine);
+  }
+  return { empty: chosen.filter(isEmpty), emptying: chosen.filter((m) => !isEmpty(m)) };
+}
+
+export class MachineTransfer {
+  private readonly requestedAt = new Map<PartId, SteadyMs>();
+  /** When a pool of ours last had a gang that is larger than it. */
+  private readonly shortSince = new Map<PartId, SteadyMs>();
+  private readonly promised = new Map<Machine, SteadyMs>();
+
+  constructor(private readonly core: Core) {}
+
+  /** The pool has such a gang: asks one peer of the same zone after another. */
+  request(part: Part, gang: OversizedGang): void {
+    const { core } = this;
+    const now = core.clock.now();
+    this.shortSince.set(part.id, now);
+    if (now - (this.requestedAt.get(part.id) ?? -Infinity) < REQUEST_INTERVAL_MS) return;
+    this.requestedAt.set(part.id, now);
+    const zone = zoneOfPart(core, part.id);
+    const peers = core.settings.parts.filter((p) => p.part !== part.id && p.zone === zone);
+    const peer = peers[Math.floor(now / PEER_TURN_MS) % peers.length];
+    if (!peer) return;
+    const { cpus, gpus, memoryGb, types, spot } = gang.job.spec;
+    const need = { cpus, gpus, memoryGb, tasks: gang.tasks, types, spot, zone };
+    const request: MachineRequest = { kind: 'machines', from: part.id, to: peer.part, ...need };
+    if (core.parts.has(peer.part)) this.answer(request);
+    else {
+      const owner = core.partRecord(peer.part)?.owner;
+      if (owner) core.mesh.send(owner, request);
+    }
+  }
+
+  /** A pool asks one of ours for machines. */
+  answer(request: MachineRequest): void {
+    const { core } = this;
+    const now = core.clock.now();
+    const part = core.parts.get(request.to);
+    if (!part?.accounted || request.from === request.to || !core.authority(now)) return;
+    if (!core.settings.parts.some((p) => p.part === request.from)) return;
+    if (this.goesFirst(part, request, now)) return;
+    const { empty, emptying } = chooseTransfer(part, request, core, now);
+    for (const machine of emptying) this.promise(machine, now);
+    for (const machine of empty) {
+      if (machine.draining && !this.promised.has(machine)) continue;
+      machine.draining = true;
+      this.promised.delete(machine);
+      void this.transfer(part, machine, request.from);
+    }
+  }
+
+  /** Of two pools that both have such a gang the one with the lower number gathers machines first. */
+  private goesFirst(part: Part, request: MachineRequest, now: SteadyMs): boolean {
+    const short = now - (this.shortSince.get(part.id) ?? steady(-Infinity)) < PROMISE;
+    return short && part.id < request.from;
+  }
+
+  private promise(machine: Machine, now: SteadyMs): void {
+    if (machine.draining && !this.promised.has(machine)) return;
+    machine.draining = true;
+    this.promised.set(machine, plus(now, PROMISE));
+  }
+
+  /** Promised machines that nobody asks for any more take work again. */
+  expirePromises(): void {
+    const now = this.core.clock.now();
+    for (const [machine, until] of this.promised) {
+      if (now < until) continue;
+      this.promised.delete(machine);
+      machine.draining = false;
+    }
+  }
+
+  /** Nothing is placed on the machine meanwhile, also where the outcome of the write stays open for long. */
+  private async transfer(part: Part, machine: Machine, to: PartId): Promise<void> {
+    const { core } = this;
+    const key = machineKey(machine.id);
+    const { address, type, zone, spot } = machine;
+    const record: MachineRecord = { part: to, address, type, zone, spot };
+    const result = await core.settle(
+      [{ key, version: core.view.version(key) }, core.ownerCondition(part)],
+      [{ op: 'put', key, value: record }],
+      Rank.handover,
+    );
+    core.log.info({ machine: machine.id, from: part.id, to, result: result.kind }, 'machine transferred');
+    await core.exclusive(() => {
+      if (result.kind === 'done') core.view.learn(key, record, result.revision);
+      machine.draining = false;
+    });
+  }
+}
--- a/src/flock/news.ts
+++ b/src/flock/news.ts
@@ -18,6 +18,7 @@
   ZoneId,
 } from '../units.js';
 import { plus } from '../units.js';
+import { machineRequest, type MachineRequest } from './machine-request.js';
 import { reserve, type FreeMachine, type Offer } from './willing.js';
 
 /** Machines whose images one announcement tells. */
@@ -66,7 +67,7 @@
   purpose: v.optional(v.picklist(['waiting', 'gather', 'remainder']), 'waiting'),
 });
 const cancelled = v.object({ kind: v.literal('cancelled'), job: v.string(), version: v.number() });
-const message = v.variant('kind', [news, ask, cancelled]);
+const message = v.variant('kind', [news, ask, cancelled, machineRequest]);
 
 export type News = v.InferOutput<typeof news>;
 /**
@@ -258,8 +259,8 @@
   void core.exclusive(() => core.view.learn(liveKey(job), undefined, version));
 }
 
-/** A peer's message; a request for a share of a limit is returned to the caller. */
-export function receive(core: Core, raw: unknown): Ask | null {
+/** A peer's message; a request for a share of a limit, or for machines, is returned to the caller. */
+export function receive(core: Core, raw: unknown): Ask | MachineRequest | null {
   const result = v.safeParse(message, raw);
   if (!result.success) return null;
   if (result.output.kind === 'news') {
@@ -270,5 +271,5 @@
     learnCancellation(core, result.output as CancelledNotice);
     return null;
   }
-  return result.output as unknown as Ask;
+  return result.output as unknown as Ask | MachineRequest;
 }
--- a/src/model/gang.ts
+++ b/src/model/gang.ts
@@ -10,11 +10,27 @@
   started: Attempt | null;
   /** The attempt that was not complete in time. */
   failed: Attempt | null;
+  /**
+   * A task has been lost since any other was last seen to wait: perhaps all had begun to run meanwhile, and those of an
+   * attempt that has run wait for nobody.
+   */
+  mayHaveStarted: boolean;
   /** Machines that a task of the present attempt has left: the attempt must not come back to them. */
   readonly leftMachines: Set<MachineId>;
 }
 
-export const newGangHistory = (): GangHistory => ({ started: null, failed: null, leftMachines: new Set() });
+export const newGangHistory = (): GangHistory => ({
+  started: null,
+  failed: null,
+  mayHaveStarted: false,
+  leftMachines: new Set(),
+});
+
+/** Nothing of the gang is on a machine: the next attempt owes nothing to the last. */
+export function forgetAttempt(history: GangHistory): void {
+  history.mayHaveStarted = false;
+  history.leftMachines.clear();
+}
 
 /** A task of a gang that is on a machine, or may be. */
 export interface GangMember {
@@ -84,6 +100,7 @@
  * | some unaccounted                                    | gathering | wait                                    |
  * | some missing, attempt of an earlier owner           | stopping  | stop the others                         |
  * | waiting for too long                                | stopping  | stop all                                |
+ * | some missing, it may have run meanwhile             | gathering | wait for the others' next reports       |
  * | some missing                                        | gathering | replace them                            |
  * | all there                                           | gathering | wait                                    |
  */
@@ -106,7 +123,7 @@
   if (missing && !facts.issued(first.attempt))
     return { state: 'stopping', action: abandon('incomplete after a claim') };
   if (waitedTooLong(facts)) return { state: 'stopping', action: abandon('not complete in time') };
-  if (!missing) return { state: 'gathering', action: WAIT };
+  if (!missing || history.mayHaveStarted) return { state: 'gathering', action: WAIT };
   return { state: 'gathering', action: { kind: 'replace', attempt: first.attempt } };
 }
 
--- a/src/parts/bindings.ts
+++ b/src/parts/bindings.ts
@@ -78,6 +78,7 @@
     return;
   }
   if (!open) return;
+  if (job.gang) job.gang.mayHaveStarted = true;
   // Found on a machine after our claim and gone from there: a late copy of a report may have told us of it, and
   // the task may be on a machine that we have not heard of yet.
   if (!part.accounted && !part.issued(binding.attempt)) {
--- a/src/parts/job.ts
+++ b/src/parts/job.ts
@@ -2,6 +2,7 @@
 import { zoneOf, type Assignment, type JobRecord } from '../jobs/record.js';
 import type { JobSpec } from '../jobs/spec.js';
 import { newGangHistory, type GangHistory } from '../model/gang.js';
+import { scale, type Resources } from '../model/resources.js';
 import { RangeSet } from '../ranges.js';
 import { steady } from '../units.js';
 import type { JobId, MachineId, Millis, Revision, SteadyMs, ZoneId } from '../units.js';
@@ -73,6 +74,10 @@
   };
 }
 
+/** What must be had at once for anything of the job to start: of a gang all tasks, else one. */
+export const leastStart = (job: PartJob): Resources =>
+  job.gang ? scale(job.spec, job.waiting.size + job.frozen.size) : job.spec;
+
 export const pinOf = (job: PartJob, index: number): ZoneId | null => zoneOf(job.record, index);
 
 /** Consecutive waiting tasks [from, to) that must be in the same zone; `zone` null: no restriction by the record. */
--- a/src/parts/machine.ts
+++ b/src/parts/machine.ts
@@ -108,6 +108,7 @@
   /** No new tasks before this time: it refused, failed or could not be reached. */
   avoidUntil: SteadyMs;
   faults: { at: SteadyMs; job: JobId }[];
+  /** It is to go to another pool and takes no more tasks. */
   draining: boolean;
   returning: boolean;
   idleSince: SteadyMs | null;
--- a/src/parts/model.ts
+++ b/src/parts/model.ts
@@ -1,6 +1,6 @@
 /** The model of a part, in one place for its users. */
 export { attach, bind, unbind } from './bindings.js';
-export { pinOf, waitingByZone, waitingRuns, type Hold, type PartJob } from './job.js';
+export { leastStart, pinOf, waitingByZone, waitingRuns, type Hold, type PartJob } from './job.js';
 export {
   isUnclear,
   newMachine,
--- a/src/placement/gangs.ts
+++ b/src/placement/gangs.ts
@@ -1,5 +1,5 @@
 /** Gangs in a placement round: all their tasks start, or none does; what a broken gang has left is stopped. Pure. */
-import { decideGang, type GangDecision } from '../model/gang.js';
+import { decideGang, forgetAttempt, type GangDecision } from '../model/gang.js';
 import type { Resources } from '../model/resources.js';
 import { millis, type Attempt, type ZoneId } from '../units.js';
 import { pinOf, type Machine, type Part, type PartJob } from '../parts/model.js';
@@ -17,6 +17,7 @@
   type Start,
 } from './round.js';
 import { makeRoom } from './preemption.js';
+import { reserveGangPlaces, reserveShare } from './reservations.js';
 
 /** What should become of a gang, by all that is known of it here. */
 export function decisionOn(part: Part, job: PartJob, ctx: PlanContext): GangDecision | null {
@@ -54,7 +55,7 @@
 export function placeGang(part: Part, job: PartJob, s: Scratch, ctx: PlanContext, plan: Plan): void {
   const action = decisionOn(part, job, ctx)?.action;
   if (action?.kind === 'start' && job.waiting.size === job.spec.tasks) {
-    job.gang?.leftMachines.clear();
+    if (job.gang) forgetAttempt(job.gang);
     place(part, job, undefined, s, ctx, plan);
   } else if (action?.kind === 'replace') place(part, job, action.attempt, s, ctx, plan);
 }
@@ -87,6 +88,8 @@
   }
   if (!found.limited && roomIsMade(part, job, found, s, ctx, plan)) return;
   giveUp(part, job, found, used, s, ctx);
+  if (found.limited) reserveShare(part, job, job.waiting.size, s, ctx, plan);
+  else reserveGangPlaces(part, job, mayTake(job, attempt), s, ctx, plan);
   plan.unplaced.push({ job, reason: found.limited ? 'limit' : 'room', indices: waitingOf(job) });
 }
 
@@ -156,7 +159,7 @@
   if (ctx.now < job.searchAfter || job.waitingSince === null) return false;
   if (found.without.length > MAX_ROOM_MADE) return false;
   // What an earlier round has stopped for it is still on its way out.
-  if (found.without.every((index) => job.holds.has(index))) {
+  if (found.without.every((index) => job.holds.get(index)?.reserved === false)) {
     keepPlaces(part, job, found, s, plan);
     return true;
   }
--- a/src/placement/plan.ts
+++ b/src/placement/plan.ts
@@ -2,25 +2,12 @@
  * One placement round of a part: which waiting tasks start where, which tasks stop to make room, and what stays
  * without room. Pure: it reads the part and returns decisions.
  */
-import type { MachineType } from '../cloud/wire.js';
 import { Priority, type JobSpec } from '../jobs/spec.js';
-import {
-  dominantShare,
-  fits,
-  freeAsCpus,
-  mapResources,
-  RESOURCE_KINDS,
-  sizeOf,
-  TOLERANCE,
-  ZERO,
-  type MutableResources,
-  type Resources,
-} from '../model/resources.js';
+import { RESOURCE_KINDS, sizeOf, TOLERANCE, ZERO, type Resources } from '../model/resources.js';
 import { pinOf, waitingRuns, type Binding, type Machine, type Part, type PartJob } from '../parts/model.js';
 import type { ZoneId } from '../units.js';
 import { placeGang, stopBrokenGangs } from './gangs.js';
 import { compareKeys, placesFor, type Places } from './places.js';
-import { allowed } from '../model/constraints.js';
 import {
   charge,
   deadlineAt,
@@ -37,18 +24,13 @@
   type Scratch,
 } from './round.js';
 import { graceFor, lostWork, makeRoom } from './preemption.js';
+import { reservePlace, reserveShare, unbegunFor } from './reservations.js';
 
 const MAX_STARTS = 200;
 const UNPLACED_SHOWN = 200;
 const FETCH_WORTH_STOPPING_S = 1;
 /** A job that has waited this long without any start goes first in its priority, and none is kept below standard. */
 const STARVED_AFTER = 90_000;
-/** A task that fits on no machine as they are has one reserved after this time, which needs time to empty. */
-const RESERVE_AFTER = 60_000;
-/** Of a part's machines, one in this many at most empties for jobs whose tasks fit nowhere. */
-const RESERVED_SHARE = 8;
-/** A task that takes at least this share of some resource of a machine may have one reserved. */
-const MOST_OF_MACHINE = 0.5;
 /** Waiting this long outweighs needing twice as much: work that needs little must not starve the largest. */
 const AGE_STEP = 15_000;
 
@@ -57,12 +39,6 @@
   readonly key: readonly number[];
 }
 
-/** How long the job has waited without any start; 0: it has begun. */
-function unbegunFor(part: Part, job: PartJob, ctx: PlanContext): number {
-  const begun = !job.record.done.isEmpty || !job.finished.isEmpty || part.boundOf.has(job.id);
-  return begun ? 0 : ctx.now - job.firstSeen;
-}
-
 /** Critical work first, then jobs that are long overdue, then all others. */
 const turn = (spec: JobSpec, unbegun: number): number =>
   spec.priority === Priority.critical ? 0 : unbegun > OVERDUE_AFTER ? 1 : 2;
@@ -102,7 +78,14 @@
   const s = startRound(part);
   const waiting = queued(part);
   keepHeldRoom(part, waiting, s, ctx);
-  const plan: Plan = { starts: [], stops: [], holds: [], unplaced: [], gathering: new Map() };
+  const plan: Plan = {
+    starts: [],
+    stops: [],
+    holds: [],
+    unplaced: [],
+    gathering: new Map(),
+    oversized: null,
+  };
   stopBrokenGangs(part, s, ctx, plan);
   const due = waiting.filter((j) => ctx.now >= j.notBefore);
   const ranked = due.map((j) => rank(part, j, ctx)).sort(byKey);
@@ -157,7 +140,7 @@
     if (noLimit.length >= UNPLACED_SHOWN || plan.starts.length >= MAX_STARTS) break;
     if (!withinShare(job.spec, s, ctx)) {
       noLimit.push(index);
-      if (noLimit.length === 1) reserveShare(part, job, s, ctx, plan);
+      if (noLimit.length === 1) reserveShare(part, job, 1, s, ctx, plan);
       if (job.spec.priority === Priority.critical) makeShare(part, job, noLimit.length, s, ctx, plan);
       else limited = true;
       continue;
@@ -201,62 +184,6 @@
   if (noLimit.length > 0) plan.unplaced.push({ job, reason: 'limit', indices: noLimit });
 }
 
-/** Smaller tasks find a piece of some machine soon. */
-const needsMost = (type: MachineType, spec: JobSpec): boolean =>
-  fits(spec, type) && dominantShare(spec, type) >= MOST_OF_MACHINE;
-
-/** Free CPUs, or GPUs as CPUs where the task needs them and they are scarcer. Memory does not choose the machine. */
-const freeForReserve = (room: Resources, type: MachineType, spec: JobSpec): number =>
-  freeAsCpus(room, type, { cpus: 0, gpus: spec.gpus, memoryGb: 0 });
-
-/**
- * A task that needs most of a machine fits nowhere as long as smaller ones take each piece that comes free. After a
- * while one machine is kept for it and empties. One for each job, and few of a part's machines at a time.
- */
-function reservePlace(
-  part: Part,
-  job: PartJob,
-  index: number,
-  pin: ZoneId | null,
-  s: Scratch,
-  ctx: PlanContext,
-  plan: Plan,
-): boolean {
-  const { spec } = job;
-  if (unbegunFor(part, job, ctx) <= RESERVE_AFTER || job.holds.size > 0) return false;
-  if (plan.holds.some((h) => h.job === job)) return false;
-  const most = Math.max(1, Math.floor(part.machines.size / RESERVED_SHARE));
-  if (s.reserved + plan.holds.filter((h) => h.reserved).length >= most) return false;
-  let best: { machine: Machine; room: MutableResources; free: number } | null = null;
-  for (const machine of part.machines.values()) {
-    const type = ctx.types.get(machine.type);
-    if (!type || !needsMost(type, spec) || !allowed(spec, machine.type, machine.zone, machine.spot, pin))
-      continue;
-    const room = scratchRoom(machine, s, ctx);
-    if (!room) continue;
-    const free = freeForReserve(room, type, spec);
-    if (!best || free > best.free) best = { machine, room, free };
-  }
-  if (!best) return false;
-  take(best.room, spec, 1);
-  plan.holds.push({ job, index, machine: best.machine.id, reserved: true });
-  return true;
-}
-
-/**
- * The same for its team's limit: smaller tasks of the team would take each piece of this part's share that comes free.
- * One task's worth gathers, also from other parts, for one job of a team at a time.
- */
-function reserveShare(part: Part, job: PartJob, s: Scratch, ctx: PlanContext, plan: Plan): void {
-  const { spec } = job;
-  if (plan.gathering.has(spec.team) || unbegunFor(part, job, ctx) <= RESERVE_AFTER) return;
-  plan.gathering.set(
-    spec.team,
-    mapResources((kind) => spec[kind]),
-  );
-  charge(s, spec);
-}
-
 /** The waiting tasks of a job, less the rest of those whose zone has shown that it has no room for many of them. */
 function* runsToTry(job: PartJob, shown: ReadonlyMap<ZoneId | null, number>): Generator<number> {
   for (const { from, to, zone } of waitingRuns(job))
--- a/src/placement/round.ts
+++ b/src/placement/round.ts
@@ -58,6 +58,12 @@
   readonly indices: readonly number[] | 'all';
 }
 
+/** A gang that its pool could not hold even if all lesser work left it, and how many of its tasks have no place. */
+export interface OversizedGang {
+  readonly job: PartJob;
+  readonly tasks: number;
+}
+
 export const countOf = (u: Unplaced): number => (u.indices === 'all' ? u.job.waiting.size : u.indices.length);
 
 export interface Plan {
@@ -65,8 +71,10 @@
   readonly stops: Stop[];
   readonly holds: { job: PartJob; index: number; machine: MachineId; reserved: boolean }[];
   readonly unplaced: Unplaced[];
-  /** By team: the share of its limit that one task needs for which smaller ones now make way. */
+  /** By team: the share of its limit that one task, or one gang, needs for which smaller ones now make way. */
   readonly gathering: Map<TeamId, Resources>;
+  /** The first of those that have waited for long. */
+  oversized: OversizedGang | null;
 }
 
 export interface Scratch {
@@ -114,8 +122,10 @@
   s.leaving.set(spec.team, add(s.leaving.get(spec.team) ?? ZERO, spec));
 }
 
-export function charge(s: Scratch, spec: JobSpec): void {
-  s.used.set(spec.team, add(usedHere(s, spec.team), spec));
+export const charge = (s: Scratch, spec: JobSpec): void => chargeAll(s, spec.team, spec);
+
+export function chargeAll(s: Scratch, team: TeamId, amount: Resources): void {
+  s.used.set(team, add(usedHere(s, team), amount));
 }
 
 export function deadlineAt(job: PartJob): number {
--- a/src/placement/scheduler.ts
+++ b/src/placement/scheduler.ts
@@ -1,6 +1,7 @@
 /** Runs placement rounds: plans, binds, stops, and passes on what found no room. */
 import type { Core } from '../core.js';
 import type { Fleet } from '../fleet/fleet.js';
+import { MachineTransfer } from '../flock/machine-transfer.js';
 import { Overflow } from '../flock/overflow.js';
 import { capacityFor } from '../flock/willing.js';
 import type { JobRecord } from '../jobs/record.js';
@@ -50,6 +51,7 @@
   private readonly guarantees: Guarantees;
   private lastMove = -1e12;
   readonly overflow: Overflow;
+  readonly transfers: MachineTransfer;
 
   constructor(
     private readonly core: Core,
@@ -59,6 +61,7 @@
     private readonly runTimes: RunTimes,
   ) {
     this.overflow = new Overflow(core);
+    this.transfers = new MachineTransfer(core);
     this.guarantees = new Guarantees(core.settings.teams);
   }
 
@@ -105,6 +108,7 @@
     this.workers.dispatch(part);
     this.overflow.consider(part, plan.unplaced);
     this.askForShares(part, plan);
+    if (plan.oversized) this.transfers.request(part, plan.oversized);
     this.fleet.demand(part, plan.unplaced, now);
   }
 
--- a/src/quota/desk.ts
+++ b/src/quota/desk.ts
@@ -14,7 +14,7 @@
   type MutableResources,
   type Resources,
 } from '../model/resources.js';
-import { usageOf, type Part, type PartJob } from '../parts/model.js';
+import { leastStart, usageOf, type Part, type PartJob } from '../parts/model.js';
 import { Rank } from '../state/budget.js';
 import type { PartId, Revision, SteadyMs, TeamId } from '../units.js';
 import { fitsAny, mayMove, missingForOne } from './remainder.js';
@@ -93,7 +93,7 @@
   }
 
   private waitingTasks(part: Part, team: TeamId): Resources[] {
-    return this.waitingJobs(part, team).map((job) => job.spec);
+    return this.waitingJobs(part, team).map(leastStart);
   }
 
   /** Of our share; of what is unlimited there is no end, whatever is used. */
--- a/src/workers/reports.ts
+++ b/src/workers/reports.ts
@@ -1,6 +1,8 @@
 /** What a worker's message means for its part: which tasks are where, ended, done or lost. */
 import type { Log } from '../log.js';
-import type { Millis, SteadyMs, TaskId } from '../units.js';
+import type { ExitCause } from '../model/exit-cause.js';
+import type { GangHistory } from '../model/gang.js';
+import type { Attempt, Millis, SteadyMs, TaskId } from '../units.js';
 import { plus, since, taskId, toMillis } from '../units.js';
 import {
   attach,
@@ -148,12 +150,22 @@
   job.frozen.removeRange(0, job.spec.tasks);
 }
 
+/** A task that still waits says that the attempt has not started; one that runs, that it has. */
+function learnGangState(gang: GangHistory, attempt: Attempt, state: ReportedTask['state']): void {
+  if (hasBegun(state)) gang.started = attempt;
+  else gang.mayHaveStarted = false;
+}
+
+/** Exits after which the attempt had certainly not started: the task has not been one of those that wait. */
+const NEVER_JOINED: readonly ExitCause[] = ['no-room', 'busy', 'unknown', 'alone'];
+
 /** What the end of a gang's task says about its attempt. */
 function learnGangExit({ gang }: PartJob, machine: Machine, { attempt, cause }: ReportedTask): void {
   if (!gang) return;
   gang.leftMachines.add(machine.id);
   if (cause === 'peers') gang.started = attempt;
   if (cause === 'alone') gang.failed = attempt;
+  if (cause !== null && NEVER_JOINED.includes(cause)) gang.mayHaveStarted = false;
 }
 
 function ended(part: Part, machine: Machine, b: Binding, task: ReportedTask, ctx: ReportContext): void {
@@ -264,11 +276,11 @@
   if (b.phase !== state) ctx.log.debug({ task: b.id, machine: machine.id, state }, 'task moves on');
   b.phase = state;
   b.due = false;
+  const gang = part.jobs.get(b.job)?.gang;
+  if (gang) learnGangState(gang, b.attempt, state);
   if (state === 'fetching') return;
   if (state === 'gathering') b.gatheringSince ??= ctx.now;
   else b.runningSince ??= ctx.now;
-  const gang = part.jobs.get(b.job)?.gang;
-  if (gang && hasBegun(state)) gang.started = b.attempt;
   if (b.spec) part.sawImage(machine, b.spec.image, b.spec.imageGb);
 }
 
--- a/test/gang.test.ts
+++ b/test/gang.test.ts
@@ -27,10 +27,15 @@
   return `${state}: ${action.kind}`;
 }
 
-const history = (o: { started?: number; failed?: number }): GangFacts['history'] => ({
+const history = (o: {
+  started?: number;
+  failed?: number;
+  mayHaveStarted?: boolean;
+}): GangFacts['history'] => ({
   ...newGangHistory(),
   started: (o.started ?? null) as Attempt | null,
   failed: (o.failed ?? null) as Attempt | null,
+  mayHaveStarted: o.mayHaveStarted ?? false,
 });
 
 test('a gang without a task on a machine starts whole, once all of it is accounted for', () => {
@@ -49,6 +54,12 @@
   assert.equal(decide([member()], { missing: true, unaccounted: true }), 'gathering: wait');
 });
 
+test('what is missing is not replaced while the others may have begun to run without being seen', () => {
+  const unseen = history({ mayHaveStarted: true });
+  assert.equal(decide([member()], { missing: true, history: unseen }), 'gathering: wait');
+  assert.equal(decide([], { missing: true, history: unseen }), 'waiting: start', 'a new attempt');
+});
+
 test('an attempt that cannot become whole any more is given up', () => {
   assert.equal(
     decide([member({ attempt: 7 })], { missing: true }),
--- a/test/standins/rounds.ts
+++ b/test/standins/rounds.ts
@@ -123,6 +123,10 @@
     }
   }
 
+  clock(): number {
+    return this.now;
+  }
+
   /** One round, all of it carried out at once, two seconds later than the one before. */
   round(): string {
     this.now += 2000;
