--- a/src/model/gang.ts
+++ b/src/model/gang.ts
@@ -91,6 +91,7 @@
  * | no task on a machine, none unaccounted              | waiting   | start all                               |
  * | no task on a machine, some unaccounted              | waiting   | wait                                    |
  * | some task is being stopped, and it had started      | stopping  | stop the others with the same grace     |
+ * | all tasks that are left are being stopped           | stopping  | wait until they are gone                |
  * | tasks with different attempts                       | stopping  | stop all                                |
  * | started, all there                                  | running   | wait                                    |
  * | started, some missing, some unaccounted             | running   | wait                                    |
@@ -112,6 +113,7 @@
   const stopped = members.find((m) => m.stop !== null);
   const started = hasStarted(members, history);
   if (stopped?.stop && started) return stopping(members, stopped.stop.grace);
+  if (members.every((m) => m.stop !== null)) return { state: 'stopping', action: WAIT };
   if (members.some((m) => m.attempt !== first.attempt))
     return { state: 'stopping', action: abandon('attempts differ') };
   const { missing } = facts;
--- a/src/placement/gangs.ts
+++ b/src/placement/gangs.ts
@@ -17,7 +17,7 @@
   type Start,
 } from './round.js';
 import { makeRoom } from './preemption.js';
-import { reserveGangPlaces, reserveShare } from './reservations.js';
+import { endGangTurn, reserveGangPlaces, reserveShare } from './reservations.js';
 
 /** What should become of a gang, by all that is known of it here. */
 export function decisionOn(part: Part, job: PartJob, ctx: PlanContext): GangDecision | null {
@@ -79,6 +79,7 @@
   ctx: PlanContext,
   plan: Plan,
 ): void {
+  endGangTurn(part, job, s, ctx);
   const used = { ...usedHere(s, job.spec.team) };
   const found = search(part, job, attempt, s, ctx);
   if (!found.limited && found.without.length === 0) {
--- a/src/placement/reservations.ts
+++ b/src/placement/reservations.ts
@@ -92,6 +92,26 @@
   chargeAll(s, spec.team, needed);
 }
 
+/** Places are kept for a gang for so long, and then others have their turn for so long, in milliseconds. */
+const GANG_KEEPS = 60_000;
+const GANG_PAUSES = 30_000;
+
+/** Nobody else may wait beside room that is kept free for as long as a minute and a half. */
+function mayKeepPlaces(part: Part, job: PartJob, ctx: PlanContext): boolean {
+  const waited = unbegunFor(part, job, ctx) - RESERVE_AFTER;
+  return waited > 0 && waited % (GANG_KEEPS + GANG_PAUSES) < GANG_KEEPS;
+}
+
+/** At the end of its turn a gang gives up the places that were kept for it. */
+export function endGangTurn(part: Part, job: PartJob, s: Scratch, ctx: PlanContext): void {
+  if (mayKeepPlaces(part, job, ctx)) return;
+  for (const [index, { machine, reserved }] of job.holds) {
+    if (!reserved) continue;
+    take(s.room.get(machine), job.spec, -1);
+    job.holds.delete(index);
+  }
+}
+
 interface ReservedPlace {
   readonly index: number;
   readonly machine: MachineId;
@@ -109,7 +129,7 @@
   ctx: PlanContext,
   plan: Plan,
 ): boolean {
-  if (unbegunFor(part, job, ctx) <= RESERVE_AFTER || job.holds.size > 0) return false;
+  if (!mayKeepPlaces(part, job, ctx) || job.holds.size > 0) return false;
   if (s.reserved > 0 || plan.holds.some((h) => h.reserved)) return false;
   const places: ReservedPlace[] = [];
   for (const index of job.waiting) {
--- a/test/gang.test.ts
+++ b/test/gang.test.ts
@@ -54,6 +54,12 @@
   assert.equal(decide([member()], { missing: true, unaccounted: true }), 'gathering: wait');
 });
 
+test('an attempt of which all that is left is being stopped is not completed', () => {
+  const leaving = member({ stop: { grace: 0 } });
+  assert.equal(decide([leaving], { missing: true }), 'stopping: wait');
+  assert.equal(decide([leaving, leaving]), 'stopping: wait');
+});
+
 test('what is missing is not replaced while the others may have begun to run without being seen', () => {
   const unseen = history({ mayHaveStarted: true });
   assert.equal(decide([member()], { missing: true, history: unseen }), 'gathering: wait');
