--- a/test/gang-model.test.ts
+++ b/test/gang-model.test.ts
@@ -9,12 +9,13 @@
 import { RandomStream } from '../src/simulation/random.js';
 import { Trace } from '../src/simulation/trace.js';
 import { Worker } from '../src/simulation/worker.js';
+import { PLAIN_JOB } from './standins/user-job.js';
 
 const WAIT_MS = 20_000;
 const PEER_MS = 5000;
 const CHECKPOINT_S = 5;
 const SAVE_S = 2;
-const JOB = 'req-1';
+const JOB = PLAIN_JOB.id;
 
 interface ReportedTask {
   readonly leg: string;
@@ -125,21 +126,11 @@
 }
 
 const GANG: UserJob = {
-  id: JOB,
+  ...PLAIN_JOB,
   class: 'gang',
-  team: 'atlas',
   shape: 'gang',
   priority: 'urgent',
   tasks: 3,
-  cpus: 2,
-  gpus: 0,
-  memoryGb: 1,
-  types: null,
-  zone: null,
-  sameZone: false,
-  spread: false,
-  spot: false,
-  image: 'i',
   imageGb: 0.1,
   estimateS: 30,
   checkpointS: CHECKPOINT_S,
--- a/test/simulation.test.ts
+++ b/test/simulation.test.ts
@@ -33,6 +33,7 @@
 import { Simulation, type SimulationResult } from '../src/simulation/simulation.js';
 import type { PartId, SteadyMs } from '../src/units.js';
 import { plainSpec } from './standins/spec.js';
+import { PLAIN_JOB } from './standins/user-job.js';
 
 const SCENARIOS = fileURLToPath(new URL('../../scenarios/', import.meta.url));
 
@@ -147,29 +148,7 @@
   }
 
   submit(changes: Partial<UserJob> = {}): void {
-    this.judge.jobSubmitted({
-      id: 'req-1',
-      class: 'batch',
-      team: 'atlas',
-      shape: 'array',
-      priority: 'standard',
-      tasks: 2,
-      cpus: 2,
-      gpus: 0,
-      memoryGb: 1,
-      types: null,
-      zone: null,
-      sameZone: false,
-      spread: false,
-      spot: false,
-      image: 'i',
-      imageGb: 1,
-      estimateS: 10,
-      checkpointS: 0,
-      saveS: 0,
-      runS: 10,
-      ...changes,
-    });
+    this.judge.jobSubmitted({ ...PLAIN_JOB, ...changes });
   }
 
   answer(
--- /dev/null
+++ b/test/standins/user-job.ts
@@ -0,0 +1,25 @@
+/** A job as the simulator's users submit it. */
+import type { UserJob } from '../../src/simulation/jobs.js';
+
+export const PLAIN_JOB: UserJob = {
+  id: 'req-1',
+  class: 'batch',
+  team: 'atlas',
+  shape: 'array',
+  priority: 'standard',
+  tasks: 2,
+  cpus: 2,
+  gpus: 0,
+  memoryGb: 1,
+  types: null,
+  zone: null,
+  sameZone: false,
+  spread: false,
+  spot: false,
+  image: 'i',
+  imageGb: 1,
+  estimateS: 10,
+  checkpointS: 0,
+  saveS: 0,
+  runS: 10,
+};
