Logs say on what knowledge leadership, starts, stops and forgets rest

Cause: after a task had run twice no log told which controller led under which token, what it had read of the store, and why a start was allowed.

Change: acquisition, release and loss of a shard name the token, the record's revision, the revision up to which the watch cache was complete and its age; a loaded list names its pages, first and last revision and duration; starts, stops, forgets, requeues and lease ends name token, epoch, sequence and revisions at debug; refused heartbeats are counted by reason in 'controller statistics'. No behaviour changes.

--- a/src/controller/periodic-work.ts
+++ b/src/controller/periodic-work.ts
@@ -21,7 +21,7 @@
 /** What the periodic work uses of the controller's shared state. */
 export type PeriodicContext = Pick<
   Core,
-  'clock' | 'exclusive' | 'heartbeatIntervalMs' | 'log' | 'requestCycle' | 'shards'
+  'clock' | 'exclusive' | 'heartbeatIntervalMs' | 'log' | 'requestCycle' | 'shards' | 'storeCache'
 >;
 
 /** The slices with work to do at intervals. */
@@ -30,7 +30,7 @@
   readonly progress: Pick<ProgressWriter, 'tick'>;
   readonly clusterClockWriter: Pick<ClusterClockWriter, 'tick'>;
   readonly autoscaler: Pick<Autoscaler, 'scaleOutShards' | 'scaleInShards'>;
-  readonly workers: Pick<WorkerService, 'expireLeases' | 'closeUnusedClients'>;
+  readonly workers: Pick<WorkerService, 'expireLeases' | 'closeUnusedClients' | 'heartbeatRefusals'>;
   readonly machineTransfers: Pick<MachineTransferService, 'expireCordons'>;
   readonly quotaTransfers: Pick<QuotaTransferService, 'shardQuota'>;
   readonly peerMessages: Pick<PeerMessages, 'announce'>;
@@ -76,6 +76,15 @@
 
   private logStatistics(now: SteadyMs): void {
     const { context, services } = this;
+    const { revision: completeUpTo, confirmedAt } = context.storeCache;
+    context.log.info(
+      {
+        completeUpTo,
+        cacheAgeMs: now - confirmedAt,
+        refusedHeartbeats: services.workers.heartbeatRefusals(),
+      },
+      'controller statistics',
+    );
     for (const shard of context.shards.values()) {
       const shardQuota = (team: TeamId): Resources => services.quotaTransfers.shardQuota(shard.id, team);
       const statistics = statisticsOf(shard, now, context.heartbeatIntervalMs, shardQuota);
--- a/src/leadership/leadership.ts
+++ b/src/leadership/leadership.ts
@@ -5,23 +5,17 @@
  * same fencing token and a late copy of an earlier request fails its conditions.
  */
 import type { Settings, Tuning } from '../settings/settings.js';
-import {
-  decodeFencingToken,
-  decodeShardRecord,
-  encodeFencingToken,
-  encodeShardRecord,
-  shardKey,
-  SHARDS_PREFIX,
-  TOKEN_KEY,
-} from '../shards/codec.js';
+import { decodeShardRecord, shardKey, SHARDS_PREFIX, type ShardRecord } from '../shards/codec.js';
 import type { Shard } from '../shards/model.js';
 import type { StoreCache } from '../store/cache.js';
-import type { CompareAndSwapResult } from '../store/client.js';
-import { RequestPriority } from '../store/rate-limiter.js';
-import type { Change, Condition } from '../store/wire.js';
 import type { ControllerId, FencingToken, Incarnation, Revision, ShardId, SteadyMs } from '../model/units.js';
-import { fencingToken, millis, shardId } from '../model/units.js';
+import { millis, shardId } from '../model/units.js';
 import { decideFailover, type FailoverFacts } from './failover.js';
+import {
+  cacheState,
+  LeadershipTransactions,
+  type LeadershipTransactionContext,
+} from './leadership-transactions.js';
 import { Membership, type MembershipContext } from './membership.js';
 import { ObservedSituations } from './observed-situations.js';
 import { openShard, type OpenShardContext } from './open-shard.js';
@@ -33,19 +27,16 @@
 } from './worker-reachability.js';
 
 /** What the leadership uses of the controller. */
-export interface LeadershipContext extends MembershipContext, OpenShardContext, ReachabilityContext {
+export interface LeadershipContext
+  extends LeadershipTransactionContext, MembershipContext, OpenShardContext, ReachabilityContext {
   readonly settings: Pick<Settings, 'node' | 'shard' | 'shards' | 'zone' | 'peers'>;
   readonly tuning: Pick<Tuning, 'membershipTtl' | 'watchTimeout'>;
-  readonly storeCache: Pick<StoreCache, 'loaded' | 'confirmedAt' | 'get' | 'version' | 'entriesUnder'>;
+  readonly storeCache: Pick<
+    StoreCache,
+    'loaded' | 'revision' | 'confirmedAt' | 'get' | 'version' | 'entriesUnder'
+  >;
   /** The controller's membership key exists, for the incarnation if one is given. */
   isAlive(node: ControllerId, incarnation: Incarnation | null): boolean;
-  /** Holds as long as the shard's record is the one that this leader knows. */
-  leaderCondition(shard: Shard): Condition;
-  compareAndSwapUntilCertain(
-    conditions: Condition[],
-    changes: Change[],
-    priority: RequestPriority,
-  ): Promise<Exclude<CompareAndSwapResult, { kind: 'unknown' }>>;
 }
 
 /** How much longer than a watch may block the store cache may go unconfirmed and still count as current. */
@@ -62,6 +53,7 @@
 /** Leadership of this process over its home shard, and over those of failed peers. */
 export class ShardLeadership {
   private readonly membership: Membership;
+  private readonly transactions: LeadershipTransactions;
   private readonly redirectedHeartbeats: RedirectedHeartbeats;
   private readonly situations: ObservedSituations;
   /** Released by this process, and led by nobody since. */
@@ -77,6 +69,7 @@
     private readonly probeWorkers: (shard: ShardId) => Promise<boolean>,
   ) {
     this.membership = new Membership(context);
+    this.transactions = new LeadershipTransactions(context);
     this.redirectedHeartbeats = new RedirectedHeartbeats(context.clock);
     this.situations = new ObservedSituations(context);
   }
@@ -124,7 +117,7 @@
     const id = shardId(Number(key.slice(SHARDS_PREFIX.length)));
     const record = value === undefined ? null : decodeShardRecord(value);
     if (record?.incarnation !== context.incarnation) {
-      this.closeShard(id, record?.leader ?? null);
+      this.closeShard(id, record, version);
       return;
     }
     if (id === context.settings.shard) this.ledHomeShardBefore = true;
@@ -179,23 +172,8 @@
   /** One attempt to become leader of the shard, or to lead it on, under the next fencing token. */
   private async acquire(shard: ShardId): Promise<void> {
     const { context } = this;
-    const { settings, storeCache } = context;
-    if (settings.shard !== shard && this.situations.isDelayed(shard, context.clock.now())) return;
-    const nextToken = fencingToken(decodeFencingToken(storeCache.get(TOKEN_KEY)?.value) + 1);
-    const record = { leader: settings.node, incarnation: context.incarnation, fencingToken: nextToken };
-    const result = await context.compareAndSwapUntilCertain(
-      [
-        { key: TOKEN_KEY, version: storeCache.version(TOKEN_KEY) },
-        { key: shardKey(shard), version: storeCache.version(shardKey(shard)) },
-      ],
-      [
-        { op: 'put', key: TOKEN_KEY, value: encodeFencingToken(nextToken) },
-        { op: 'put', key: shardKey(shard), value: encodeShardRecord(record) },
-      ],
-      RequestPriority.leadership,
-    );
-    context.log.info({ shard, fencingToken: nextToken, result: result.kind }, 'acquire leadership');
-    if (result.kind !== 'done')
+    if (context.settings.shard !== shard && this.situations.isDelayed(shard, context.clock.now())) return;
+    if (!(await this.transactions.acquire(shard)))
       await context.sleep(millis(ACQUIRE_RETRY_DELAY_MS + context.random(ACQUIRE_RETRY_JITTER_MS)));
   }
 
@@ -222,24 +200,28 @@
       'releasing a shard whose workers do not reach this controller',
     );
     this.releasedShards.add(shard.id);
-    const value = encodeShardRecord({ leader: null, incarnation: null, fencingToken: shard.fencingToken });
-    const result = await context.compareAndSwapUntilCertain(
-      [context.leaderCondition(shard)],
-      [{ op: 'put', key: shardKey(shard.id), value }],
-      RequestPriority.leadership,
-    );
-    if (result.kind !== 'done') this.releasedShards.delete(shard.id);
+    if (!(await this.transactions.release(shard))) this.releasedShards.delete(shard.id);
   }
 
   /** The store says that this process does not lead the shard, or does so no more. */
-  private closeShard(id: ShardId, leader: ControllerId | null): void {
+  private closeShard(id: ShardId, record: ShardRecord | null, version: Revision): void {
     const { shards, log } = this.context;
-    if (shards.has(id)) log.info({ shard: id, leader }, 'leadership lost');
+    const leader = record?.leader ?? null;
+    const lost = shards.get(id);
+    if (lost)
+      log.info({ ...describeLoss(lost, record, version), ...cacheState(this.context) }, 'leadership lost');
     shards.delete(id);
     if (leader) this.releasedShards.delete(id);
   }
 }
 
+/** Under which leadership a shard was lost, and to which one, for the log. */
+function describeLoss(lost: Shard, successor: ShardRecord | null, version: Revision): object {
+  const { id: shard, fencingToken: ownToken, acquiredVersion } = lost;
+  const { leader = null, fencingToken: successorToken = null } = successor ?? {};
+  return { shard, leader, version, successorToken, fencingToken: ownToken, acquiredVersion };
+}
+
 /** The shard's record has changed while this process leads it; all machines are to be told a new fencing token. */
 function adoptRecord(shard: Shard, acquiredToken: FencingToken, version: Revision): void {
   shard.adoptFencingToken(acquiredToken);
--- a/src/leadership/open-shard.ts
+++ b/src/leadership/open-shard.ts
@@ -27,7 +27,7 @@
 export interface OpenShardContext {
   readonly clock: Clock;
   readonly log: Pick<Log, 'info'>;
-  readonly storeCache: Pick<StoreCache, 'entriesUnder' | 'version'>;
+  readonly storeCache: Pick<StoreCache, 'entriesUnder' | 'version' | 'revision' | 'confirmedAt'>;
   /** The shards that this process leads; only the leadership adds and removes them. */
   readonly shards: Map<ShardId, Shard>;
   readonly types: ReadonlyMap<InstanceTypeId, InstanceType>;
@@ -50,7 +50,15 @@
   context.shards.set(id, shard);
   addActiveJobs(context, shard, now);
   context.log.info(
-    { shard: id, fencingToken, machines: shard.machines.size, jobs: shard.jobs.size },
+    {
+      shard: id,
+      fencingToken,
+      version,
+      completeUpTo: context.storeCache.revision,
+      cacheAgeMs: now - context.storeCache.confirmedAt,
+      machines: shard.machines.size,
+      jobs: shard.jobs.size,
+    },
     'leadership acquired',
   );
 }
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -150,7 +150,7 @@
       reservedUntil: plus(now, RESERVATION_TTL),
       withoutPreemption: false,
     });
-    this.taskAllocator.stop(shard, allocation, 0);
+    this.taskAllocator.stop(shard, allocation, 0, 'relocated');
   }
 
   private applyPlan(shard: Shard, plan: SchedulingPlan, now: SteadyMs): void {
--- a/src/scheduling/task-allocator.ts
+++ b/src/scheduling/task-allocator.ts
@@ -21,6 +21,9 @@
 /** A task may be expected to end this long after the announced interruption and is still left to finish. */
 const INTERRUPTION_TOLERANCE_MS = 2000;
 
+/** Why a task is stopped, for the log; `planned`: preempted, or to end its gang's attempt. */
+type StopReason = 'planned' | 'relocated' | 'job ended' | 'interruption notice';
+
 /** The launch has not been sent in any form, so that no machine can hold the task. */
 const isUnsent = (allocation: Allocation): boolean =>
   allocation.phase === 'ordered' &&
@@ -77,29 +80,58 @@
     const allocation = newAllocation(job, index as TaskIndex, machine, attempt, now);
     allocate(shard, machine, allocation);
     shard.machinesWithPendingCommands.add(machine);
-    this.core.log.debug({ task: allocation.id, machine: machine.id, attempt }, 'start');
+    this.logStart(shard, job, machine, allocation);
+  }
+
+  /** On what knowledge the start was decided: enough to tell from the logs of two controllers which one was wrong. */
+  private logStart(shard: Shard, job: ShardJob, machine: Machine, { id, attempt }: Allocation): void {
+    this.core.log.debug(
+      {
+        task: id,
+        machine: machine.id,
+        attempt,
+        shard: shard.id,
+        fencingToken: shard.fencingToken,
+        agentEpoch: machine.agentEpoch,
+        sequence: machine.sequence,
+        jobVersion: job.version,
+        acquiredVersion: shard.acquiredVersion,
+        completeUpTo: this.core.storeCache.revision,
+      },
+      'start',
+    );
   }
 
   /** Stops the tasks that a plan names. */
   stopAll(shard: Shard, stops: readonly TaskStop[]): void {
-    for (const { allocation, graceS } of stops) this.stop(shard, allocation, graceS);
+    for (const { allocation, graceS } of stops) this.stop(shard, allocation, graceS, 'planned');
   }
 
   /** Stops a task; of a gang all tasks, with the same grace: a gang can only write a checkpoint as a whole. */
-  stop(shard: Shard, allocation: Allocation, graceS: number): void {
+  stop(shard: Shard, allocation: Allocation, graceS: number, reason: StopReason): void {
     if (allocation.spec?.kind !== 'gang') {
-      this.stopTask(shard, allocation, graceS);
+      this.stopTask(shard, allocation, graceS, reason);
       return;
     }
     for (const member of [...(shard.allocationsByJob.get(allocation.job) ?? [])])
-      this.stopTask(shard, member, graceS);
+      this.stopTask(shard, member, graceS, reason);
   }
 
   /** A stop with a shorter grace replaces an earlier one; a longer one changes nothing. */
-  private stopTask(shard: Shard, allocation: Allocation, graceS: number): void {
+  private stopTask(shard: Shard, allocation: Allocation, graceS: number, reason: StopReason): void {
     const machine = shard.machines.get(allocation.machine);
     if (!machine || (allocation.stop && allocation.stop.grace <= graceS)) return;
-    this.core.log.debug({ task: allocation.id, machine: allocation.machine, grace: graceS }, 'stop');
+    this.core.log.debug(
+      {
+        task: allocation.id,
+        machine: allocation.machine,
+        attempt: allocation.attempt,
+        fencingToken: shard.fencingToken,
+        grace: graceS,
+        reason,
+      },
+      'stop',
+    );
     if (isUnsent(allocation)) {
       release(shard, machine, allocation);
       return;
@@ -112,7 +144,7 @@
     for (const shard of this.core.shards.values()) {
       shard.jobs.delete(jobId);
       for (const allocation of [...(shard.allocationsByJob.get(jobId) ?? [])])
-        this.stop(shard, allocation, 0);
+        this.stop(shard, allocation, 0, 'job ended');
     }
   }
 
@@ -130,10 +162,12 @@
     const { spec } = allocation;
     if (allocation.stop || !spec) return;
     // A member of a gang that has not started yet can be replaced on another machine alone.
-    if (spec.kind === 'gang' && allocation.runningSince === null) this.stopTask(shard, allocation, 0);
+    if (spec.kind === 'gang' && allocation.runningSince === null)
+      this.stopTask(shard, allocation, 0, 'interruption notice');
     else if (spec.kind === 'service' || spec.checkpointIntervalS > 0)
-      this.stop(shard, allocation, gracePeriodS(allocation));
-    else if (!this.canFinishBeforeInterruption(allocation, machine)) this.stop(shard, allocation, 0);
+      this.stop(shard, allocation, gracePeriodS(allocation), 'interruption notice');
+    else if (!this.canFinishBeforeInterruption(allocation, machine))
+      this.stop(shard, allocation, 0, 'interruption notice');
   }
 
   private canFinishBeforeInterruption(allocation: Allocation, machine: Machine): boolean {
--- a/src/shards/unaccounted-tasks.ts
+++ b/src/shards/unaccounted-tasks.ts
@@ -9,21 +9,26 @@
 import { requiredZone, type ShardJob } from './job.js';
 import type { Shard } from './shard.js';
 
+/** Told of each job of which tasks wait again. */
+export type OnRequeued = (job: ShardJob, tasks: RangeSet) => void;
+
 /** Lets tasks that are certainly on no machine wait again; true: with this the whole shard became reconciled. */
-export function requeueAccountedTasks(shard: Shard): boolean {
+export function requeueAccountedTasks(shard: Shard, onRequeued: OnRequeued = () => undefined): boolean {
   if (shard.reconciled || !shard.unreconciled.takeRecheckRequest()) return false;
   if (shard.unreconciled.isEmpty) shard.reconciled = true;
-  for (const job of shard.jobs.values()) if (!job.unaccounted.isEmpty) requeueTasksOnNoMachine(shard, job);
+  for (const job of shard.jobs.values())
+    if (!job.unaccounted.isEmpty) requeueTasksOnNoMachine(shard, job, onRequeued);
   return shard.reconciled;
 }
 
-function requeueTasksOnNoMachine(shard: Shard, job: ShardJob): void {
+function requeueTasksOnNoMachine(shard: Shard, job: ShardJob, onRequeued: OnRequeued): void {
   const ranges = rangesOnNoMachine(shard, job);
   if (ranges.length === 0) return;
   const tasks = RangeSet.of(ranges);
   job.waiting.addAll(tasks);
   job.unaccounted.removeAll(tasks);
   shard.queue.add(job);
+  onRequeued(job, tasks);
 }
 
 function rangesOnNoMachine(shard: Shard, job: ShardJob): Range[] {
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -127,7 +127,7 @@
     const entries: Entry[] = [];
     let firstRevision: Revision | null = null;
     let after: string | null = null;
-    for (;;) {
+    for (let pages = 1; ; pages += 1) {
       const path = listPath(prefix, after, LIST_PAGE_SIZE);
       const call: Call = { method: 'GET', path, timeout: REQUEST_TIMEOUT };
       const page = toEntryPage(await this.sender.send(call, RequestPriority.leadership, 0));
@@ -135,7 +135,8 @@
       firstRevision ??= page.revision;
       entries.push(...page.entries);
       const last = page.entries.at(-1);
-      if (!page.more || !last) return { kind: 'listed', entries, revision: firstRevision };
+      if (!page.more || !last)
+        return { kind: 'listed', entries, revision: firstRevision, lastRevision: page.revision, pages };
       after = last.key;
     }
   }
--- a/src/store/outcomes.ts
+++ b/src/store/outcomes.ts
@@ -41,7 +41,15 @@
 /** Outcome of listing everything below a prefix. */
 export type ListResult =
   /** Every entry, with the revision from which a watch sees what the list may lack. */
-  | { readonly kind: 'listed'; readonly entries: readonly Entry[]; readonly revision: Revision }
+  | {
+      readonly kind: 'listed';
+      readonly entries: readonly Entry[];
+      /** At which the first page was read. */
+      readonly revision: Revision;
+      /** At which the last page was read: some entries may be as new as this. */
+      readonly lastRevision: Revision;
+      readonly pages: number;
+    }
   /** Nothing is known: a page was never sent, was refused, or had no readable answer. */
   | { readonly kind: 'failed' };
 
--- a/src/store/watcher.ts
+++ b/src/store/watcher.ts
@@ -64,7 +64,9 @@
     if (snapshot.kind === 'failed') return this.recordFailure();
     this.cache.loadSnapshot(snapshot.entries, snapshot.revision, requestedAt);
     this.recordSuccess();
-    this.log.info({ keys: snapshot.entries.length, revision: snapshot.revision }, 'watch cache loaded');
+    const { entries, pages, revision, lastRevision } = snapshot;
+    const durationMs = this.clock.now() - requestedAt;
+    this.log.info({ keys: entries.length, pages, revision, lastRevision, durationMs }, 'watch cache loaded');
     return NO_DELAY;
   }
 
--- a/src/workers/commands.ts
+++ b/src/workers/commands.ts
@@ -2,7 +2,8 @@
  * Chooses the commands that a worker should get now, for the answer to its heartbeat or for a direct request, and marks
  * launches as sent. Every command may be repeated, except a launch after its removal: `release-rules.ts` prevents that.
  */
-import type { Seconds } from '../model/units.js';
+import type { Log } from '../logging/log.js';
+import { taskId, type Seconds } from '../model/units.js';
 import type { Allocation, Machine, Shard } from '../shards/model.js';
 import { mayForget } from './release-rules.js';
 import type { WorkerCommand } from './wire.js';
@@ -46,6 +47,22 @@
   return commands;
 }
 
+/** Says which results a worker is told to forget: from then on only the store shows that these tasks have ended. */
+export function logForgotten(
+  log: Log,
+  shard: Shard,
+  machine: Machine,
+  commands: readonly WorkerCommand[],
+): void {
+  for (const { kind, job, index, attempt } of commands) {
+    if (kind !== 'forget') continue;
+    const id = taskId(job, index);
+    const { fencingToken } = shard;
+    const cause = machine.exitedTasks.get(id)?.cause ?? null;
+    log.debug({ task: id, machine: machine.id, attempt, cause, fencingToken }, 'forget');
+  }
+}
+
 /** For the answer to a heartbeat: all that the worker does not show yet. Marks launches as sent in this answer. */
 export function commandsInReply(shard: Shard, machine: Machine): WorkerCommand[] {
   const commands = forgetCommands(shard, machine);
--- a/src/workers/direct-commands.ts
+++ b/src/workers/direct-commands.ts
@@ -10,7 +10,7 @@
 import type { Clock, SteadyMs } from '../model/units.js';
 import { millis, plus } from '../model/units.js';
 import { DIRECT_CALL_SHARE, type WorkerClients } from './clients.js';
-import { FENCING_TOKEN_ONLY, takeDirectCommands, type CommandBatch } from './commands.js';
+import { FENCING_TOKEN_ONLY, logForgotten, takeDirectCommands, type CommandBatch } from './commands.js';
 import type { ShardUpdates } from './shard-updates.js';
 import { reconcileHeartbeat } from './reconciliation.js';
 import { hasUnacknowledgedLaunch } from './release-rules.js';
@@ -78,6 +78,7 @@
   private async send(shard: Shard, machine: Machine, { commands, launches }: CommandBatch): Promise<void> {
     machine.directRequestInFlight = true;
     this.activeCalls += 1;
+    logForgotten(this.controller.log, shard, machine, commands);
     const sent = { fencingToken: shard.fencingToken, agentEpoch: machine.agentEpoch };
     const outcome = await this.clients.clientFor(machine.address).call({
       method: 'POST',
--- a/src/workers/heartbeat-handler.ts
+++ b/src/workers/heartbeat-handler.ts
@@ -3,6 +3,8 @@
  * before the command deadline. Relies on `reconciliation.ts` for what a heartbeat changes.
  */
 import type { HttpResponse } from '../http/server.js';
+import { CounterSet } from '../logging/counter-set.js';
+import type { Log } from '../logging/log.js';
 import type { Settings } from '../settings/settings.js';
 import type { Machine, Shard } from '../shards/model.js';
 import { decodeMachineRecord, machineKey, type ShardRecord } from '../shards/codec.js';
@@ -11,7 +13,7 @@
 import { elapsed, millis } from '../model/units.js';
 import type { FencingTokenIssuer } from './lease-expiry.js';
 import type { MachineRegistration } from './registration.js';
-import { commandsInReply } from './commands.js';
+import { commandsInReply, logForgotten } from './commands.js';
 import type { ShardUpdates } from './shard-updates.js';
 import { reconcileHeartbeat } from './reconciliation.js';
 import { encodeRedirect, encodeReply, parseHeartbeat, WorkerStatus, type Heartbeat } from './wire.js';
@@ -36,6 +38,7 @@
 /** What the heartbeat handler uses of the controller. */
 export interface HeartbeatHandlerDependencies {
   readonly clock: Clock;
+  readonly log: Log;
   readonly settings: Pick<Settings, 'node'>;
   readonly shards: ReadonlyMap<ShardId, Shard>;
   readonly storeCache: Pick<StoreCache, 'loaded' | 'get'>;
@@ -52,9 +55,22 @@
   recordRedirectedHeartbeat(shard: ShardId, machine: MachineId): void;
 }
 
+/** Why a heartbeat was not answered with 200. */
+type HeartbeatRefusal =
+  | 'malformed'
+  | 'store not loaded'
+  | 'not registered in time'
+  | 'past the command deadline'
+  | 'higher fencing token'
+  | 'answers do not arrive'
+  | 'outdated'
+  | 'not the leader';
+
 /** Answers heartbeats with 200 and commands, with 421 and the leader, or with 503. */
 export class HeartbeatHandler {
   private tokenRaisedAt: SteadyMs | null = null;
+  /** Heartbeats that were not answered with 200, by the reason. */
+  readonly refusals = new CounterSet<HeartbeatRefusal>();
 
   constructor(
     private readonly controller: HeartbeatHandlerDependencies,
@@ -66,18 +82,23 @@
   /** Handles a heartbeat, given as the request's body. */
   async handle(body: Buffer): Promise<HttpResponse> {
     const heartbeat = parseHeartbeat(body);
-    if (!heartbeat) return MALFORMED;
+    if (!heartbeat) return this.refuse('malformed', MALFORMED);
     const { controller } = this;
-    if (!controller.storeCache.loaded) return MAY_NOT_COMMAND;
+    if (!controller.storeCache.loaded) return this.refuse('store not loaded');
     const receivedAt = controller.clock.now();
     const shardId = await this.findShard(heartbeat);
     // Prevents: registration takes so long that the worker has given up on this answer; tasks are started on the
     // strength of a lease that the answer does not renew.
     const isTooLate = elapsed(controller.clock.now(), receivedAt) > MAX_ANSWER_DELAY_MS;
-    if (shardId === null || isTooLate) return MAY_NOT_COMMAND;
+    if (shardId === null || isTooLate) return this.refuse('not registered in time');
     return controller.exclusive(() => this.answer(heartbeat, shardId));
   }
 
+  private refuse(reason: HeartbeatRefusal, response: HttpResponse = MAY_NOT_COMMAND): HttpResponse {
+    this.refusals.increment(reason);
+    return response;
+  }
+
   private async findShard(heartbeat: Heartbeat): Promise<ShardId | null> {
     for (const shard of this.controller.shards.values())
       if (shard.machines.has(heartbeat.machine)) return shard.id;
@@ -95,20 +116,24 @@
     // Another controller commands this worker: it would drop a 200, and go on coming here until its lease expires.
     if (heartbeat.fencingToken > shard.fencingToken) {
       this.raiseFencingToken(shard, now);
-      return { status: WorkerStatus.notLeader, body: encodeRedirect(null) };
+      return this.refuse('higher fencing token', {
+        status: WorkerStatus.notLeader,
+        body: encodeRedirect(null),
+      });
     }
-    if (!this.controller.mayCommand(now)) return MAY_NOT_COMMAND;
+    if (!this.controller.mayCommand(now)) return this.refuse('past the command deadline');
     if (this.missesAnswers(shard, machine, heartbeat, now)) {
       machine.refusedUnreachableAt = now;
-      return MAY_NOT_COMMAND;
+      return this.refuse('answers do not arrive');
     }
     return this.renewLease(shard, machine, heartbeat, now);
   }
 
   private renewLease(shard: Shard, machine: Machine, heartbeat: Heartbeat, now: SteadyMs): HttpResponse {
     const context = this.shardUpdates.reconciliationContext(now);
-    if (!reconcileHeartbeat(shard, machine, heartbeat, 'heartbeat', context)) return MAY_NOT_COMMAND;
+    if (!reconcileHeartbeat(shard, machine, heartbeat, 'heartbeat', context)) return this.refuse('outdated');
     const commands = commandsInReply(shard, machine);
+    logForgotten(this.controller.log, shard, machine, commands);
     if (!machine.reconciled) {
       shard.machinesWithPendingCommands.add(machine);
       machine.answeredUnreconciledAt ??= now;
@@ -153,6 +178,9 @@
       leader !== null &&
       leader !== this.controller.settings.node &&
       this.controller.heardWithin(leader, LEADER_LIVENESS_TIMEOUT);
-    return { status: WorkerStatus.notLeader, body: encodeRedirect(isReachable ? leader : null) };
+    return this.refuse('not the leader', {
+      status: WorkerStatus.notLeader,
+      body: encodeRedirect(isReachable ? leader : null),
+    });
   }
 }
--- a/src/workers/lease-expiry.ts
+++ b/src/workers/lease-expiry.ts
@@ -66,7 +66,16 @@
   private expireLease(shard: Shard, machine: Machine, now: SteadyMs, terms: LeaseTerms): void {
     if (hasNothingToRelease(machine) || !isLeaseExpired(shard, machine, now, terms)) return;
     this.controller.log.info(
-      { machine: machine.id, shard: shard.id, allocations: machine.allocations.size },
+      {
+        machine: machine.id,
+        shard: shard.id,
+        allocations: machine.allocations.size,
+        fencingToken: shard.fencingToken,
+        agentEpoch: machine.agentEpoch,
+        sequence: machine.sequence,
+        silentMs: machine.lastHeartbeatAt === null ? null : elapsed(now, machine.lastHeartbeatAt),
+        confirmedMsAgo: now - terms.confirmedAt,
+      },
       'lease expired',
     );
     releaseAll(shard, machine, this.controller.log);
--- a/src/workers/service.ts
+++ b/src/workers/service.ts
@@ -69,6 +69,11 @@
     return this.heartbeatHandler.handle(body);
   }
 
+  /** Heartbeats that were not answered with 200, by the reason, since the process began. */
+  heartbeatRefusals(): Readonly<Record<string, number>> {
+    return this.heartbeatHandler.refusals.snapshot();
+  }
+
   /** Follows a machine's record in the watch cache; null: it was removed. */
   onMachineChanged(id: MachineId, record: MachineRecord | null, version: Revision): void {
     for (const shard of this.controller.shards.values()) {
--- a/src/workers/shard-updates.ts
+++ b/src/workers/shard-updates.ts
@@ -50,7 +50,15 @@
 
   /** To be called after every change of the shard's machines or allocations. */
   onShardChanged(shard: Shard): void {
-    if (requeueAccountedTasks(shard)) this.controller.log.info({ shard: shard.id }, 'shard reconciled');
+    const { log } = this.controller;
+    const { id, fencingToken, acquiredVersion, unreconciled } = shard;
+    const reconciled = requeueAccountedTasks(shard, (job, tasks) =>
+      log.debug(
+        { job: job.id, tasks: tasks.ranges(), shard: id, fencingToken, acquiredVersion },
+        'unaccounted tasks are on no machine, requeued',
+      ),
+    );
+    if (reconciled) log.info({ shard: id, fencingToken, complete: unreconciled.isEmpty }, 'shard reconciled');
     this.controller.requestCycle();
   }
 
--- a/test/controller/periodic-work.test.ts
+++ b/test/controller/periodic-work.test.ts
@@ -3,6 +3,7 @@
 import { PeriodicWork, type PeriodicServices } from '../../src/controller/periodic-work.js';
 import { silentLog } from '../../src/logging/log.js';
 import { ZERO } from '../../src/model/resources.js';
+import { StoreCache } from '../../src/store/cache.js';
 import { SimulatedClock } from '../support/simulated-clock.js';
 
 /** Starts periodic work whose services record what is called, and returns the calls of the given time. */
@@ -16,7 +17,11 @@
     progress: { tick: record('progress') },
     clusterClockWriter: { tick: record('cluster clock') },
     autoscaler: { scaleOutShards: record('scale out'), scaleInShards: record('scale in') },
-    workers: { expireLeases: record('expire leases'), closeUnusedClients: record('close clients') },
+    workers: {
+      expireLeases: record('expire leases'),
+      closeUnusedClients: record('close clients'),
+      heartbeatRefusals: () => ({}),
+    },
     machineTransfers: { expireCordons: record('expire cordons') },
     quotaTransfers: { shardQuota: () => ZERO },
     peerMessages: { announce: record('announce') },
@@ -27,6 +32,7 @@
       clock,
       log: silentLog(),
       shards: new Map(),
+      storeCache: new StoreCache(() => undefined),
       heartbeatIntervalMs: 1500,
       exclusive: <T>(work: () => T) => Promise.resolve(work()),
       requestCycle: record('request cycle'),
--- a/test/store/watcher.test.ts
+++ b/test/store/watcher.test.ts
@@ -18,6 +18,8 @@
   kind: 'listed',
   entries: [{ key, value: revision, version: at(revision) }],
   revision: at(revision),
+  lastRevision: at(revision),
+  pages: 1,
 });
 
 /** A watcher of a store that answers lists and watches in turn, and then no more. */
