--- a/test/support/fault-injection-cluster.ts
+++ b/test/support/fault-injection-cluster.ts
@@ -166,8 +166,14 @@
 }
 
 /** Machines of 8 CPUs, registered in turns in shards 0 and 2 (east) and in shard 1 (west); all controllers run. */
-export async function startCluster(east: number, west: number, cpusMax = 24): Promise<FaultInjectionCluster> {
+export async function startCluster(
+  east: number,
+  west: number,
+  cpusMax = 24,
+  logOf?: SimulatedCluster['logOf'],
+): Promise<FaultInjectionCluster> {
   const cluster = new FaultInjectionCluster(cpusMax);
+  if (logOf) cluster.logOf = logOf;
   for (let i = 0; i < east; i += 1) cluster.addWorker('large', 'east');
   for (let i = 0; i < west; i += 1) cluster.addWorker('large', 'west');
   await cluster.start();
--- a/test/support/simulated-cluster.ts
+++ b/test/support/simulated-cluster.ts
@@ -3,6 +3,7 @@
 import type { Ports } from '../../src/controller/ports.js';
 import type { Call, CallOutcome } from '../../src/http/client.js';
 import type { HttpResponse, Handler } from '../../src/http/server.js';
+import type { Log } from '../../src/logging/log.js';
 import type { Settings } from '../../src/settings/settings.js';
 import type { Incarnation } from '../../src/model/units.js';
 import { WORKING_BUILD, type ControllerBuild } from './controller-builds.js';
@@ -187,6 +188,8 @@
   private readonly queuedCommands = new Map<string, Call[]>();
   /** Which version a node runs when it starts. */
   buildOf: (node: number) => ControllerBuild = () => WORKING_BUILD;
+  /** Where a node's log goes; a version's own silent log by default. */
+  logOf: (node: number, build: ControllerBuild) => Log = (_, build) => build.silentLog();
   /** One way between a controller and a worker, in milliseconds. */
   linkLatencyMs = 1;
   /** How fast the clock of a node or a machine runs; asked when it starts. */
@@ -245,7 +248,7 @@
       settings,
       build.parseTuning(this.config.tuning, 'none'),
       this.clockOf(nodeIndex, node, lifetime),
-      build.silentLog(),
+      this.logOf(nodeIndex, build),
       this.ports(nodeIndex, lifetime, settings),
     );
     this.trace(`n${nodeIndex} starts`);
