A shard's leader acts only on records of which it knows that it still led when they were written

Cause: the watch cache learns single keys ahead of the watch (own commits, reads of one key). A leader that had been replaced found a job newer than its own acquisition and started its tasks beside its successor.

Change: tasks that a record assigns are unconfirmed, and a machine that a record registers takes no task, until the watch has passed the record's revision with this leader still in the shard's record (RecordConfirmation, the one place that grants it). What is stored and sent is unchanged.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -132,7 +132,10 @@
       incarnation: ports.incarnation(),
       random,
       store: new KeyValueClient(ports.state, ports.stateWatch, clock, settings, () => this.randomFraction()),
-      storeCache: new StoreCache((key, value, version) => this.storeChanges.dispatch(key, value, version)),
+      storeCache: new StoreCache(
+        (key, value, version) => this.storeChanges.dispatch(key, value, version),
+        (revision) => this.storeChanges.confirm(revision),
+      ),
       cloud: new CloudClient(ports.cloud, clock, settings),
       peerTransport: this.peerTransport,
       types: this.instanceTypes,
--- a/src/controller/store-changes.ts
+++ b/src/controller/store-changes.ts
@@ -53,6 +53,22 @@
     context.requestCycle();
   }
 
+  /**
+   * The watch cache is complete up to the revision: the shards led here may act on records up to there.
+   *
+   * Prevents: a leader that has been replaced learns of a job by its own commit before its watch shows the successor, and
+   * both start the job's tasks.
+   */
+  confirm(revision: Revision): void {
+    const { shards, requestCycle } = this.context;
+    for (const shard of shards.values()) {
+      const { jobs, changed } = shard.confirmUpTo(revision);
+      if (changed) requestCycle();
+      if (jobs.some((job) => job.spec.priority === Priority.critical))
+        this.listeners.scheduler.requestUrgentCycle();
+    }
+  }
+
   private onMachineRecord(key: string, value: unknown, version: Revision): void {
     const id = key.slice(MACHINES_PREFIX.length) as MachineId;
     const record = value === undefined ? null : decodeMachineRecord(value);
--- a/src/jobs/progress.ts
+++ b/src/jobs/progress.ts
@@ -106,7 +106,8 @@
 
   /** Nothing of the job is left to do here: the job may end with this write, or another shard's may end it. */
   private isLast(job: ShardJob, finished: RangeSet, record: JobRecord): boolean {
-    if (!job.waiting.isEmpty || !job.unaccounted.isEmpty || !job.handingOver.isEmpty) return false;
+    const pending = [job.waiting, job.unaccounted, job.unconfirmed, job.handingOver];
+    if (pending.some((tasks) => !tasks.isEmpty)) return false;
     const unfinished = RangeSet.of(
       record.assignments
         .filter((assignment) => this.context.shards.has(assignment.shard))
--- a/src/jobs/submission.ts
+++ b/src/jobs/submission.ts
@@ -8,15 +8,14 @@
 import type { Log } from '../logging/log.js';
 import { RangeSet } from '../model/ranges.js';
 import type { Settings } from '../settings/settings.js';
-import { RequestPriority } from '../store/rate-limiter.js';
-import type { Clock, JobId, ClusterMs, SteadyMs, InstanceTypeId } from '../model/units.js';
-import { NO_REVISION } from '../model/units.js';
+import type { Shard } from '../shards/model.js';
+import type { Clock, JobId, ClusterMs, ShardId, SteadyMs, InstanceTypeId } from '../model/units.js';
 import { rejectionReason } from './admission.js';
-import type { ActiveJobs, StoreAccess } from './dependencies.js';
+import type { ActiveJobs } from './dependencies.js';
 import type { FinalStateCache } from './final-states.js';
+import { createJobRecord, type JobCreationContext } from './job-creation.js';
 import type { LookupBatcher } from './lookup-batcher.js';
 import type { JobLookup } from './lookup.js';
-import { encodeRecord, finalStateKey, activeJobKey } from './codec.js';
 import { storedSizeBytes } from './stored-size.js';
 import type { Assignment, JobRecord } from './record.js';
 import { responseTo, UNAVAILABLE, type RequestOutcome, type SubmissionRefusal } from './responses.js';
@@ -25,7 +24,7 @@
 import { decodeSubmission } from './wire.js';
 
 /** What a submission is decided by, besides the store. */
-export interface SubmissionContext extends StoreAccess, TaskSources {
+export interface SubmissionContext extends JobCreationContext, TaskSources {
   readonly settings: Settings;
   /** The cloud's instance types; empty while they are not known yet. */
   readonly types: ReadonlyMap<InstanceTypeId, InstanceType>;
@@ -33,6 +32,7 @@
   /** The time that the controllers count together. */
   readonly clusterClock: { now(now: SteadyMs): ClusterMs };
   readonly log: Log;
+  readonly shards: ReadonlyMap<ShardId, Shard>;
 }
 
 /** Answers users' submissions. */
@@ -100,25 +100,13 @@
 
   /** One write, on condition that no job of that id is active or has ended. */
   private async create(spec: JobSpec): Promise<HttpResponse> {
-    const { store, storeCache, settings, log } = this.context;
+    const { store, settings, log } = this.context;
     const record = this.newRecord(spec);
     if (storedSizeBytes(record) > settings.maxValueBytes)
       return this.refuse(spec.id, { kind: 'malformed', reason: 'the description is too long' });
-    const key = activeJobKey(spec.id);
-    const value = encodeRecord(record);
-    const conditions = [
-      { key, version: NO_REVISION },
-      { key: finalStateKey(spec.id), version: NO_REVISION },
-    ];
-    const change = { op: 'put', key, value } as const;
-    let result = await store.compareAndSwap(conditions, [change], RequestPriority.submission);
-    // Outcome unknown: a second try either creates the job or shows that it exists.
-    if (result.kind === 'unknown')
-      result = await store.compareAndSwap(conditions, [change], RequestPriority.submission);
+    const result = await createJobRecord(this.context, record);
     if (result.kind === 'conflict') return this.existingJob(spec.id);
     if (result.kind !== 'done') return responseTo({ kind: 'unavailable', expectedWait: store.submitWait });
-    const { revision } = result;
-    await this.context.exclusive(() => storeCache.apply(key, value, revision));
     // The answer took so long that another controller has confirmed the job's end meanwhile: 'pending' would contradict
     // it.
     if (!this.activeJobs.has(spec.id)) return this.existingJob(spec.id);
--- a/src/leadership/open-shard.ts
+++ b/src/leadership/open-shard.ts
@@ -68,16 +68,21 @@
     const record = decodeMachineRecord(entry.value);
     if (record?.shard !== shard.id) continue;
     const id = entry.key.slice(MACHINES_PREFIX.length) as MachineId;
-    const machine = newUnreconciledMachine(id, record, now);
+    const machine = newUnreconciledMachine(id, record, entry.version, now);
     shard.addMachine(machine);
     for (const [image, sizeGb] of context.imageHints.get(id) ?? []) shard.recordImage(machine, image, sizeGb);
   }
 }
 
 /** An earlier leader may have started tasks on it: nothing is known of it before its first heartbeat. */
-function newUnreconciledMachine(id: MachineId, record: MachineRecord, now: SteadyMs): Machine {
+function newUnreconciledMachine(
+  id: MachineId,
+  record: MachineRecord,
+  registeredVersion: Revision,
+  now: SteadyMs,
+): Machine {
   const { address, type, zone, spot } = record;
-  return newMachine({ id, address, type, zone, spot, addedAt: now, reconciled: false });
+  return newMachine({ id, address, type, zone, spot, addedAt: now, reconciled: false, registeredVersion });
 }
 
 function addActiveJobs(context: OpenShardContext, shard: Shard, now: SteadyMs): void {
--- a/src/overflow/zone-reassignment.ts
+++ b/src/overflow/zone-reassignment.ts
@@ -68,7 +68,7 @@
   const { spec, waitingSince } = job;
   if (!mayChangeZone(spec) || waitingSince === null) return false;
   if (now - waitingSince < ZONE_REASSIGNMENT_DELAY_MS) return false;
-  return job.handingOver.isEmpty && job.unaccounted.isEmpty;
+  return [job.handingOver, job.unaccounted, job.unconfirmed].every((tasks) => tasks.isEmpty);
 }
 
 function tasksWaitingFor(zone: ZoneId, job: ShardJob): RangeSet {
--- a/src/scheduling/gangs.ts
+++ b/src/scheduling/gangs.ts
@@ -21,7 +21,7 @@
     members: [...(shard.allocationsByJob.get(job.id) ?? [])],
     history: job.gangHistory,
     finished: !job.finished.isEmpty,
-    unaccounted: !job.unaccounted.isEmpty || !job.handingOver.isEmpty,
+    unaccounted: [job.unaccounted, job.unconfirmed, job.handingOver].some((tasks) => !tasks.isEmpty),
     issued: (attempt) => shard.issuedAttempt(attempt),
     waitLimit: millis(context.gangWaitMs),
   });
--- a/src/shards/allocation-changes.ts
+++ b/src/shards/allocation-changes.ts
@@ -5,7 +5,7 @@
 import { Priority, type JobSpec } from '../jobs/spec.js';
 import { addTo, clear } from '../model/resources.js';
 import type { Allocation } from './allocation.js';
-import type { ShardJob } from './job.js';
+import { withdrawFromQueue, type ShardJob } from './job.js';
 import type { Machine } from './machine.js';
 import type { Shard } from './shard.js';
 import { isAssignedTo } from './sync.js';
@@ -15,8 +15,7 @@
   addToMachine(shard, machine, allocation);
   shard.allocations.set(allocation.id, allocation);
   const job = shard.jobs.get(allocation.job);
-  job?.waiting.remove(allocation.index);
-  job?.unaccounted.remove(allocation.index);
+  if (job) withdrawFromQueue(job, allocation.index, allocation.index + 1);
 }
 
 /**
--- a/src/shards/job.ts
+++ b/src/shards/job.ts
@@ -1,7 +1,7 @@
 /**
  * A shard's copy of a job: which of its tasks wait, may be on a machine that has not been heard of, or have finished.
- * Each unfinished task that is assigned to the shard is in `waiting`, in `unaccounted`, in `handingOver` or in an
- * allocation; `sync.ts` keeps the copy up to date with the record.
+ * Each unfinished task that is assigned to the shard is in `waiting`, in `unaccounted`, in `unconfirmed`, in
+ * `handingOver` or in an allocation; `sync.ts` keeps the copy up to date with the record.
  */
 import { requiredZoneOf, type Assignment, type JobRecord } from '../jobs/record.js';
 import type { JobSpec } from '../jobs/spec.js';
@@ -31,6 +31,10 @@
   readonly waiting: RangeSet;
   /** Tasks that an earlier leader may have started and that have not been seen since: they may be on a machine. */
   readonly unaccounted: RangeSet;
+  /** Tasks assigned by a record ahead of the watch: an earlier leader cannot have started them, a later one might. */
+  readonly unconfirmed: RangeSet;
+  /** Revision of the newest record that assigned tasks to the shard. */
+  assignedVersion: Revision;
   /** Tasks that have finished and are not yet recorded as done. */
   readonly finished: RangeSet;
   /** Tasks being transferred to another shard, while the outcome of the write is unknown. */
@@ -78,8 +82,10 @@
     spec: record.spec,
     record,
     version,
-    waiting: mayBeRunning ? RangeSet.empty() : unfinished,
+    waiting: RangeSet.empty(),
     unaccounted: mayBeRunning ? unfinished : RangeSet.empty(),
+    unconfirmed: mayBeRunning ? RangeSet.empty() : unfinished,
+    assignedVersion: version,
     finished: RangeSet.empty(),
     handingOver: RangeSet.empty(),
     reservations: new Map(),
@@ -95,6 +101,11 @@
   };
 }
 
+/** The tasks are on a machine or have ended: they do not wait in any way. */
+export function withdrawFromQueue(job: ShardJob, from: number, to: number): void {
+  for (const tasks of [job.waiting, job.unaccounted, job.unconfirmed]) tasks.removeRange(from, to);
+}
+
 /** What must be free at once for anything of the job to start: all tasks of a gang, else one task. */
 export const minimumToStart = (job: ShardJob): Resources =>
   job.gangHistory ? scale(job.spec, job.waiting.size + job.unaccounted.size) : job.spec;
--- a/src/shards/machine-health.ts
+++ b/src/shards/machine-health.ts
@@ -16,11 +16,11 @@
 
 /**
  * May new tasks be started on the machine now? Not while it cannot be reached, may still run tasks of an earlier leader,
- * leaves the shard, is quarantined, or has stopped sending heartbeats.
+ * was registered by a record ahead of the watch, leaves the shard, is quarantined, or has stopped sending heartbeats.
  */
 export function isSchedulable(machine: Machine, { now, heartbeatIntervalMs }: HeartbeatExpectation): boolean {
   if (machine.unreachableSince !== null) return false;
-  if (!machine.reconciled || isLeaving(machine)) return false;
+  if (!machine.reconciled || !machine.confirmed || isLeaving(machine)) return false;
   if (now < machine.quarantinedUntil) return false;
   return machine.lastHeardAt !== null && now - machine.lastHeardAt < longestSilence(heartbeatIntervalMs);
 }
--- a/src/shards/machine.ts
+++ b/src/shards/machine.ts
@@ -12,6 +12,7 @@
   InstanceTypeId,
   JobId,
   MachineId,
+  Revision,
   Sequence,
   SteadyMs,
   TaskId,
@@ -58,6 +59,10 @@
    * an earlier leader that is not known here. Changed by `Shard.markReconciled` alone.
    */
   reconciled: boolean;
+  /** Revision of the record that registered it for the shard. */
+  readonly registeredVersion: Revision;
+  /** This leader knows all that was written before that record. Changed by `RecordConfirmation` alone. */
+  confirmed: boolean;
   /** When the cloud takes the spot instance, once it has given notice. Changed by `Shard.setInterruption` alone. */
   interruptedAt: SteadyMs | null;
   /** What is on it or may be, by task. Changed by the shard, like the next four. */
@@ -112,16 +117,15 @@
   readonly addedAt: SteadyMs;
   /** It was registered after the shard was acquired: no earlier leader can have started anything on it. */
   readonly reconciled: boolean;
+  /** Revision of its registration. */
+  readonly registeredVersion: Revision;
 }
 
 /** A machine that has not been heard of and holds nothing that is known. */
-export function newMachine({ id, address, type, zone, spot, addedAt, reconciled }: MachineOptions): Machine {
+export function newMachine(options: MachineOptions): Machine {
   return {
-    id,
-    address,
-    type,
-    zone,
-    spot,
+    ...options,
+    confirmed: false,
     agentEpoch: 0 as AgentEpoch,
     sequence: 0 as Sequence,
     fencingToken: 0 as FencingToken,
@@ -131,7 +135,6 @@
     lastHeartbeatAt: null,
     lastHeartbeatSequence: null,
     agentEpochSeenAt: null,
-    reconciled,
     interruptedAt: null,
     allocations: new Map(),
     used: { ...ZERO },
@@ -145,12 +148,11 @@
     missedDirectRequests: 0,
     answeredUnreconciledAt: null,
     refusedUnreachableAt: null,
-    quarantinedUntil: addedAt,
+    quarantinedUntil: options.addedAt,
     taskFailures: [],
     draining: false,
     scalingIn: false,
     idleSince: null,
-    addedAt,
   };
 }
 
--- a/src/shards/model.ts
+++ b/src/shards/model.ts
@@ -6,9 +6,11 @@
   requiredZone,
   waitingByZone,
   waitingRuns,
+  withdrawFromQueue,
   type Reservation,
   type ShardJob,
 } from './job.js';
 export { freeResources, hasUnknownUsage, newMachine, type Machine } from './machine.js';
-export { Shard, usageOf } from './shard.js';
+export { Shard } from './shard.js';
 export { isAssignedTo, syncJob } from './sync.js';
+export { usageOf } from './usage.js';
--- a/src/shards/shard.ts
+++ b/src/shards/shard.ts
@@ -9,6 +9,7 @@
 import type { ShardJob } from './job.js';
 import type { Allocation } from './allocation.js';
 import type { Machine } from './machine.js';
+import { RecordConfirmation } from './record-confirmation.js';
 import { ShardTotals } from './totals.js';
 import { UnreconciledMachines } from './unreconciled-machines.js';
 import type {
@@ -73,6 +74,8 @@
   reconciled = false;
   /** Machines that may hold tasks of an earlier leader. */
   readonly unreconciled = new UnreconciledMachines();
+  /** Which records this leader may act on. */
+  private readonly confirmation = new RecordConfirmation();
   private attemptCounter = 0;
   private readonly firstFencingToken: FencingToken;
   /** Revision at which the shard was acquired: an earlier leader may have acted on whatever was written up to then. */
@@ -98,6 +101,7 @@
   /** A machine that is registered for the shard; nothing is known to be allocated on it. */
   addMachine(machine: Machine): void {
     this.machines.set(machine.id, machine);
+    this.confirmation.addMachine(machine);
     for (const image of machine.images.keys()) this.totals.setImageHolder(image, machine, true);
     this.totals.countIfUnaccounted(machine, 1);
     this.totals.updateFreeCapacity(machine, this.types);
@@ -117,9 +121,33 @@
     this.unreconciled.requestRecheck();
   }
 
+  /** Tasks of a record that may be ahead of the watch: they are started once `confirmUpTo` has covered it. */
+  addUnconfirmed(job: ShardJob, tasks: RangeSet): void {
+    job.unconfirmed.addAll(tasks);
+    this.confirmation.addJob(job);
+  }
+
+  /** Up to here this leader knows everything that was written, and led the shard. */
+  get confirmedUpTo(): Revision {
+    return this.confirmation.revision;
+  }
+
+  /** The watch cache is complete up to `revision` and shows this leader still. Returns what may be started with this. */
+  confirmUpTo(revision: Revision): { readonly jobs: readonly ShardJob[]; readonly changed: boolean } {
+    const confirmed = this.confirmation.confirmUpTo(revision);
+    for (const job of confirmed.jobs) {
+      if (this.jobs.get(job.id) !== job) continue;
+      job.waiting.addAll(job.unconfirmed);
+      job.unconfirmed.removeAll(job.unconfirmed.clone());
+      this.queue.add(job);
+    }
+    return confirmed;
+  }
+
   /** The machine is not registered for the shard any more. What was allocated on it has been released before. */
   removeMachine(machine: Machine): void {
     this.machines.delete(machine.id);
+    this.confirmation.removeMachine(machine);
     for (const image of machine.images.keys()) this.totals.setImageHolder(image, machine, false);
     this.totals.countIfUnaccounted(machine, -1);
     this.totals.removeMachine(machine);
@@ -211,16 +239,3 @@
     return attempt >= this.firstFencingToken * ATTEMPTS_PER_TOKEN;
   }
 }
-
-/** What each team's tasks may be using at most: known allocations, and whole machines with unknown usage. */
-export interface Usage {
-  readonly byTeam: ReadonlyMap<TeamId, Resources>;
-  /** Capacity of machines with unknown usage: all of it may be any one team's. */
-  readonly unattributed: Resources;
-}
-
-/** The present usage of the shard; `byTeam` goes on changing with it. */
-export const usageOf = (shard: Shard): Usage => ({
-  byTeam: shard.totals.usageByTeam,
-  unattributed: shard.totals.unaccountedCapacity(shard.types),
-});
--- a/src/shards/sync.ts
+++ b/src/shards/sync.ts
@@ -43,7 +43,7 @@
 function addJob(shard: Shard, revision: JobRevision, atAcquisition: boolean, age: Millis): void {
   const { unfinished } = revision;
   // Read after the acquisition and written before it: an earlier leader may have started these tasks too.
-  const predatesAcquisition = !atAcquisition && revision.version <= shard.acquiredVersion;
+  const predatesAcquisition = revision.version <= shard.acquiredVersion;
   const mayBeRunning = atAcquisition || predatesAcquisition;
   const job = newShardJob({
     record: revision.record,
@@ -53,7 +53,8 @@
     mayBeRunning,
     age,
   });
-  if (predatesAcquisition) shard.addUnaccounted(job, unfinished);
+  if (!mayBeRunning) shard.addUnconfirmed(job, unfinished);
+  else if (!atAcquisition) shard.addUnaccounted(job, unfinished);
   shard.jobs.set(job.id, job);
   shard.queue.add(job);
   if (job.gangHistory) shard.gangs.add(job);
@@ -79,16 +80,21 @@
 /** Tasks that the record newly assigns to the shard. */
 function addAssignedTasks(shard: Shard, job: ShardJob, added: RangeSet): void {
   // Transferred to this leader: the shard that gave them up knew that none of them was on a machine.
-  if (job.version > shard.acquiredVersion) job.waiting.addAll(added);
+  job.assignedVersion = job.version;
+  if (job.version > shard.acquiredVersion) shard.addUnconfirmed(job, added);
   else shard.addUnaccounted(job, added);
 }
 
 /** Takes out what has finished or is assigned elsewhere, and lets nothing wait that is on a machine or has ended. */
 function retainUnfinished(shard: Shard, job: ShardJob, unfinished: RangeSet): void {
-  for (const tasks of [job.waiting, job.unaccounted, job.handingOver, job.finished])
+  for (const tasks of [job.waiting, job.unaccounted, job.unconfirmed, job.handingOver, job.finished])
     retainOnly(tasks, unfinished);
-  for (const allocation of shard.allocationsByJob.get(job.id) ?? []) job.waiting.remove(allocation.index);
+  for (const { index } of shard.allocationsByJob.get(job.id) ?? []) {
+    job.waiting.remove(index);
+    job.unconfirmed.remove(index);
+  }
   job.waiting.removeAll(job.finished);
+  job.unconfirmed.removeAll(job.finished);
 }
 
 function retainOnly(tasks: RangeSet, allowed: RangeSet): void {
--- a/src/store/cache.ts
+++ b/src/store/cache.ts
@@ -7,6 +7,9 @@
 import { NO_REVISION, steady } from '../model/units.js';
 import type { Entry, WatchEvent } from './wire.js';
 
+/** Called when the cache has become complete up to a later revision, after the changes up to there. */
+export type OnComplete = (revision: Revision) => void;
+
 /** Called for every change of the cache, once it is made; a `value` of undefined: the key was deleted. */
 export type OnChange = (key: StoreKey, value: unknown, version: Revision) => void;
 
@@ -30,7 +33,10 @@
   private lastConfirmedAt: SteadyMs = NEVER_CONFIRMED;
   private hasSnapshot = false;
 
-  constructor(private readonly onChange: OnChange) {}
+  constructor(
+    private readonly onChange: OnChange,
+    private readonly onComplete: OnComplete = () => undefined,
+  ) {}
 
   /** Up to this revision the cache lacks no change; it may know some later ones. */
   get revision(): Revision {
@@ -117,9 +123,11 @@
   }
 
   private advance(revision: Revision, requestedAt: SteadyMs): void {
+    const reachedRevision = this.completeUpTo;
     if (revision > this.completeUpTo) this.completeUpTo = revision;
     if (requestedAt > this.lastConfirmedAt) this.lastConfirmedAt = requestedAt;
     for (const [key, version] of this.deletedVersions)
       if (version <= this.completeUpTo) this.deletedVersions.delete(key);
+    if (this.completeUpTo > reachedRevision) this.onComplete(this.completeUpTo);
   }
 }
--- a/src/workers/reconciliation.ts
+++ b/src/workers/reconciliation.ts
@@ -12,6 +12,7 @@
   allocate,
   isAssignedTo,
   release,
+  withdrawFromQueue,
   type Allocation,
   type Machine,
   type Shard,
@@ -188,7 +189,7 @@
   else {
     addToMachine(shard, machine, allocation);
     if (!elsewhere || elsewhere === expected) shard.allocations.set(id, allocation);
-    job?.waiting.remove(task.index);
+    if (job) withdrawFromQueue(job, task.index, task.index + 1);
     context.log.info(
       { task: id, machine: machine.id, attempt: task.attempt },
       'not assigned to this shard, stopping',
--- a/src/workers/service.ts
+++ b/src/workers/service.ts
@@ -89,7 +89,8 @@
     const now = this.controller.clock.now();
     const { address, type, zone, spot } = record;
     const reconciled = isRegisteredSinceAcquisition(shard, version);
-    shard.addMachine(newMachine({ id, address, type, zone, spot, addedAt: now, reconciled }));
+    const identity = { id, address, type, zone, spot };
+    shard.addMachine(newMachine({ ...identity, addedAt: now, reconciled, registeredVersion: version }));
   }
 
   private recordRetired(id: MachineId): void {
--- a/src/workers/task-exits.ts
+++ b/src/workers/task-exits.ts
@@ -9,6 +9,7 @@
 import {
   isAssignedTo,
   release,
+  withdrawFromQueue,
   type Allocation,
   type ExitedTask,
   type Machine,
@@ -126,8 +127,7 @@
   if (shard.allocations.has(taskId(task.job, task.index))) return;
   job.finished.add(task.index);
   shard.jobsWithUnrecordedEnds.add(job);
-  job.waiting.remove(task.index);
-  job.unaccounted.remove(task.index);
+  withdrawFromQueue(job, task.index, task.index + 1);
 }
 
 /** The tasks of a gang complete together: one that is done says that all are. */
@@ -135,8 +135,7 @@
   job.finished.addRange(0, job.spec.tasks);
   job.finished.removeAll(job.record.done);
   shard.jobsWithUnrecordedEnds.add(job);
-  job.waiting.removeRange(0, job.spec.tasks);
-  job.unaccounted.removeRange(0, job.spec.tasks);
+  withdrawFromQueue(job, 0, job.spec.tasks);
 }
 
 /** Many jobs that fail on one machine put it in quarantine; one job that fails on many machines is delayed itself. */
--- a/test/autoscaling/scale-in.test.ts
+++ b/test/autoscaling/scale-in.test.ts
@@ -1,6 +1,7 @@
 /** Scale-in of silent machines: interrupted spot machines, network partitions and lost machines are told apart. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { NO_REVISION } from '../../src/model/units.js';
 import {
   unlistedCheck,
   assessLiveness,
@@ -34,6 +35,7 @@
       spot,
       addedAt: (NOW - 4000) as never,
       reconciled: reconciled || !silent,
+      registeredVersion: NO_REVISION,
     });
     if (reconciled || !silent) machine.lastHeardAt = (NOW - (silent ? setup.silentMs : 100)) as never;
     else machine.missedDirectRequests = 5;
--- a/test/leadership/failover-with-late-events.test.ts
+++ b/test/leadership/failover-with-late-events.test.ts
@@ -8,7 +8,7 @@
 import type { Call, CallOutcome } from '../../src/http/client.js';
 import type { JobRecord } from '../../src/jobs/record.js';
 import { RangeSet } from '../../src/model/ranges.js';
-import { Shard, syncJob } from '../../src/shards/model.js';
+import { Shard } from '../../src/shards/model.js';
 import { requeueAccountedTasks } from '../../src/shards/unaccounted-tasks.js';
 import {
   UNLIMITED_CPUS,
@@ -18,6 +18,7 @@
   whenFailoverArrives,
 } from '../support/fault-injection-cluster.js';
 import { buildJobSpec } from '../support/job-specs.js';
+import { syncConfirmedJob } from '../support/confirmed-job.js';
 
 test('a job is accepted and started just before the failover; the successor learns late of earlier events', async () => {
   for (const lag of [0, 300, 1200]) {
@@ -134,13 +135,13 @@
     ],
     done: RangeSet.empty(),
   });
-  syncJob(shard, record(2), 5 as never, 0 as never, true);
+  syncConfirmedJob(shard, record(2), 5 as never, 0 as never, true);
   requeueAccountedTasks(shard);
   const job = shard.jobs.get('req-1' as never);
   assert.deepEqual(job?.waiting.ranges(), [[0, 2]], 'the shard has no machine on which they could be');
-  syncJob(shard, record(4), 9 as never, 0 as never, false);
+  syncConfirmedJob(shard, record(4), 9 as never, 0 as never, false);
   assert.deepEqual(job?.unaccounted.ranges(), [[2, 4]]);
-  syncJob(shard, record(6), 11 as never, 0 as never, false);
+  syncConfirmedJob(shard, record(6), 11 as never, 0 as never, false);
   assert.deepEqual(job?.unaccounted.ranges(), [[2, 4]]);
   requeueAccountedTasks(shard);
   assert.deepEqual(job?.waiting.ranges(), [[0, 6]], 'reconciled anew');
--- a/test/leadership/worker-reachability.test.ts
+++ b/test/leadership/worker-reachability.test.ts
@@ -17,6 +17,7 @@
   type InstanceTypeId,
   type MachineId,
   type ZoneId,
+  NO_REVISION,
 } from '../../src/model/units.js';
 
 const SHARD = shardId(0);
@@ -38,6 +39,7 @@
       spot: false,
       addedAt: steady(0),
       reconciled: true,
+      registeredVersion: NO_REVISION,
     });
     machine.lastHeartbeatAt = steady(NOW - ago);
     shard.addMachine(machine);
--- a/test/overflow/task-transfer.test.ts
+++ b/test/overflow/task-transfer.test.ts
@@ -5,10 +5,11 @@
 import { chooseTaskTransfer } from '../../src/overflow/task-transfer.js';
 import { seededRandom } from '../../src/model/random.js';
 import type { FreeCapacity } from '../../src/peers/free-capacity.js';
-import { Shard, syncJob, type ShardJob } from '../../src/shards/model.js';
+import { Shard, type ShardJob } from '../../src/shards/model.js';
 import { RangeSet } from '../../src/model/ranges.js';
 import type { ShardId, SteadyMs } from '../../src/model/units.js';
 import { buildJobSpec } from '../support/job-specs.js';
+import { syncConfirmedJob } from '../support/confirmed-job.js';
 
 test('a record that cannot hold another range does not stop other jobs from being handed over', () => {
   const now = 10_000 as SteadyMs;
@@ -35,7 +36,7 @@
       assignments,
       done: RangeSet.empty(),
     } as never;
-    syncJob(shard, record, (i + 1) as never, 0 as SteadyMs, false);
+    syncConfirmedJob(shard, record, (i + 1) as never, 0 as SteadyMs, false);
     const job = shard.jobs.get(id as never) as ShardJob;
     return { job, reason: 'capacity' as const, indices: [...job.waiting] };
   });
--- a/test/quota/quota-remainder.test.ts
+++ b/test/quota/quota-remainder.test.ts
@@ -2,13 +2,14 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { UNLIMITED, type Resources } from '../../src/model/resources.js';
-import { Shard, syncJob } from '../../src/shards/model.js';
+import { Shard } from '../../src/shards/model.js';
 import { missingForClosestTask } from '../../src/quota/quota-remainder.js';
 import { RangeSet } from '../../src/model/ranges.js';
 import type { ShardId, SteadyMs, TeamId } from '../../src/model/units.js';
 import { flushPromises } from '../support/simulated-clock.js';
 import { createQuotaTransferService } from '../support/quota-transfer-service.js';
 import { buildJobSpec, buildTeam } from '../support/job-specs.js';
+import { syncConfirmedJob } from '../support/confirmed-job.js';
 
 const RED = 'red' as TeamId;
 const STEP_MS = 500;
@@ -60,7 +61,7 @@
     const spec = { ...this.taskSpec(size), id: `req-${shard.id}-${size}`, tasks: 10 };
     const assignments = [{ from: 0, to: 10, shard: shard.id, zone: null }];
     const record = { spec, assignments, done: RangeSet.empty() } as never;
-    syncJob(shard, record, 2 as never, this.now as SteadyMs, false);
+    syncConfirmedJob(shard, record, 2 as never, this.now as SteadyMs, false);
   }
 
   /** Each of these shards requests quota in turn, again and again for so long. */
--- a/test/quota/unused-quota.test.ts
+++ b/test/quota/unused-quota.test.ts
@@ -2,12 +2,13 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { Core } from '../../src/core.js';
-import { Shard, syncJob } from '../../src/shards/model.js';
+import { Shard } from '../../src/shards/model.js';
 import { QuotaTransferService } from '../../src/quota/transfer-service.js';
 import { RangeSet } from '../../src/model/ranges.js';
 import { StoreCache } from '../../src/store/cache.js';
 import type { ShardId, SteadyMs } from '../../src/model/units.js';
 import { buildJobSpec, buildTeam } from '../support/job-specs.js';
+import { syncConfirmedJob } from '../support/confirmed-job.js';
 
 test('unused quota does not stay on a shard whose tasks wait for capacity', () => {
   const red = buildTeam({ cpus: 12, cpusMax: 24 });
@@ -20,7 +21,7 @@
   shard.reconciled = true;
   const assignments = [{ from: 0, to: 10, shard: shard.id, zone: null }];
   const record = { spec: buildJobSpec({ tasks: 10 }), assignments, done: RangeSet.empty() } as never;
-  syncJob(shard, record, 1 as never, 0 as SteadyMs, false);
+  syncConfirmedJob(shard, record, 1 as never, 0 as SteadyMs, false);
   const unusedCpus = (): number => transferService.unusedQuota(shard).get(red.name)?.cpus ?? 0;
   assert.equal(unusedCpus(), 0, 'its own tasks may start at once');
   shard.teamsBlockedByCapacity = new Set([red.name]);
--- a/test/scheduling/consolidation.test.ts
+++ b/test/scheduling/consolidation.test.ts
@@ -1,7 +1,7 @@
 /** Consolidation of replicas onto fewer machines. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { allocate, newMachine, Shard, syncJob, type Allocation } from '../../src/shards/model.js';
+import { allocate, newMachine, Shard, type Allocation } from '../../src/shards/model.js';
 import { chooseRelocation } from '../../src/scheduling/consolidation.js';
 import type { InstanceType } from '../../src/cloud/wire.js';
 import { Priority } from '../../src/jobs/spec.js';
@@ -15,8 +15,9 @@
   TaskIndex,
   InstanceTypeId,
 } from '../../src/model/units.js';
-import { taskId } from '../../src/model/units.js';
+import { taskId, NO_REVISION } from '../../src/model/units.js';
 import { buildJobSpec } from '../support/job-specs.js';
+import { syncConfirmedJob } from '../support/confirmed-job.js';
 
 const NOW = 1_000_000 as SteadyMs;
 const types = new Map([
@@ -55,7 +56,7 @@
       assignments,
       done: RangeSet.empty(),
     };
-    syncJob(shard, record as never, 1 as never, 0 as SteadyMs, false);
+    syncConfirmedJob(shard, record as never, 1 as never, 0 as SteadyMs, false);
   }
   for (const [name, { replicas, batch: others }] of Object.entries(load)) {
     const machine = newMachine({
@@ -66,6 +67,7 @@
       spot: false,
       addedAt: NOW,
       reconciled: true,
+      registeredVersion: NO_REVISION,
     });
     machine.lastHeardAt = NOW;
     shard.addMachine(machine);
--- a/test/scheduling/dominant-resource.test.ts
+++ b/test/scheduling/dominant-resource.test.ts
@@ -1,6 +1,7 @@
 /** Each decision goes by the dominant resource: on machines with 8 GPUs and 64 CPUs, CPUs alone mislead. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { NO_REVISION } from '../../src/model/units.js';
 import type { InstanceType } from '../../src/cloud/wire.js';
 import type { Core } from '../../src/core.js';
 import { planScaleOut, type ScaleOutContext } from '../../src/autoscaling/scale-out-plan.js';
@@ -12,7 +13,7 @@
 import type { JobSpec } from '../../src/jobs/spec.js';
 import { ZERO, type Resources } from '../../src/model/resources.js';
 import { statisticsOf } from '../../src/shards/statistics.js';
-import { allocate, newMachine, Shard, syncJob, type Allocation } from '../../src/shards/model.js';
+import { allocate, newMachine, Shard, type Allocation } from '../../src/shards/model.js';
 import { chooseRelocation } from '../../src/scheduling/consolidation.js';
 import { QuotaTransferService } from '../../src/quota/transfer-service.js';
 import { quotaKey } from '../../src/quota/codec.js';
@@ -25,6 +26,7 @@
 import { buildJobSpec, buildTeam } from '../support/job-specs.js';
 import { assertTraceMatches } from '../support/recorded-trace.js';
 import { SMALL_CLUSTER, SimulatedCluster, type ClusterConfig } from '../support/simulated-cluster.js';
+import { syncConfirmedJob } from '../support/confirmed-job.js';
 
 const GPU_MACHINE: Resources = { cpus: 64, gpus: 8, memoryGb: 512 };
 const GPU_TYPE = { ...GPU_MACHINE, name: 'gpu', zones: ['east'], price: 17, spotPrice: 8, bootS: 40 };
@@ -161,7 +163,7 @@
   const spec = buildJobSpec({ id: 'req-s', ...SERVICE, tasks: 50, image: 'img', ...changes });
   const assignments = [{ from: 0, to: 50, shard: shard.id, zone: null }];
   const record = { spec, homeShard: shard.id, acceptedRevision: 0, assignments, done: RangeSet.empty() };
-  syncJob(shard, record as never, 1 as never, 0 as SteadyMs, false);
+  syncConfirmedJob(shard, record as never, 1 as never, 0 as SteadyMs, false);
   let index = 0;
   for (const [name, replicas] of Object.entries(load)) {
     const machine = newMachine({
@@ -172,6 +174,7 @@
       spot: false,
       addedAt: NOW,
       reconciled: true,
+      registeredVersion: NO_REVISION,
     });
     machine.lastHeardAt = NOW;
     shard.addMachine(machine);
--- a/test/scheduling/starvation.test.ts
+++ b/test/scheduling/starvation.test.ts
@@ -1,6 +1,7 @@
 /** No job is left waiting while a machine that fits has capacity and its team is within its quota. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { NO_REVISION } from '../../src/model/units.js';
 import type { InstanceType } from '../../src/cloud/wire.js';
 import type { Core } from '../../src/core.js';
 import { assignJob, type AssignmentContext } from '../../src/overflow/assignment.js';
@@ -15,7 +16,7 @@
 import { taskCapacity } from '../../src/overflow/peer-ranking.js';
 import type { FreeCapacity } from '../../src/peers/free-capacity.js';
 import { UNLIMITED, ZERO } from '../../src/model/resources.js';
-import { newMachine, Shard, syncJob, type ShardJob } from '../../src/shards/model.js';
+import { newMachine, Shard, type ShardJob } from '../../src/shards/model.js';
 import { planCycle } from '../../src/scheduling/plan.js';
 import { OVERDUE_AFTER_MS, type SchedulingContext } from '../../src/scheduling/cycle.js';
 import { RangeSet } from '../../src/model/ranges.js';
@@ -25,6 +26,7 @@
 import { IdleCapacityMonitor } from '../support/idle-capacity-monitor.js';
 import { buildJobSpec, buildTeam } from '../support/job-specs.js';
 import { SimulatedCluster, type JobOptions } from '../support/simulated-cluster.js';
+import { syncConfirmedJob } from '../support/confirmed-job.js';
 
 const NOW = 1_000_000 as SteadyMs;
 const EAST = 'east' as ZoneId;
@@ -60,6 +62,7 @@
       spot: false,
       addedAt: 0 as never,
       reconciled: true,
+      registeredVersion: NO_REVISION,
     });
     machine.lastHeardAt = NOW;
     shard.addMachine(machine);
@@ -70,7 +73,7 @@
     assignments: assignments.map(([from, to, shardId, zone]) => ({ from, to, shard: shardId, zone })),
     done: RangeSet.empty(),
   } as never;
-  syncJob(shard, record, 1 as never, 0 as SteadyMs, false);
+  syncConfirmedJob(shard, record, 1 as never, 0 as SteadyMs, false);
   return { shard, job: [...shard.jobs.values()][0] as ShardJob };
 }
 
@@ -340,7 +343,7 @@
   } as never;
   const starts = (ageMs: number): string[] => {
     shard.jobs.delete('req-large' as never);
-    syncJob(shard, record, 2 as never, NOW, false, ageMs as never);
+    syncConfirmedJob(shard, record, 2 as never, NOW, false, ageMs as never);
     const plan = planCycle(shard, {
       now: NOW,
       types: TYPES,
@@ -370,7 +373,7 @@
     shard.reconciled = true;
     const assignments = [{ from: 0, to: 10, shard: id, zone: null }];
     const spec = buildJobSpec({ id: `req-${id}`, tasks: 10, cpus: 9 });
-    syncJob(shard, { spec, assignments, done: RangeSet.empty() } as never, 2 as never, NOW, false);
+    syncConfirmedJob(shard, { spec, assignments, done: RangeSet.empty() } as never, 2 as never, NOW, false);
     return shard;
   });
   const [first, second] = shards as [Shard, Shard];
--- a/test/shards/allocation-changes.test.ts
+++ b/test/shards/allocation-changes.test.ts
@@ -8,7 +8,6 @@
   freeResources,
   release,
   requestStop,
-  syncJob,
   type Shard,
   type ShardJob,
 } from '../../src/shards/model.js';
@@ -21,11 +20,12 @@
   buildShard,
   EARLIER_ATTEMPT,
 } from '../support/shard-builder.js';
+import { syncConfirmedJob } from '../support/confirmed-job.js';
 
 function shardWithJob(record: Parameters<typeof buildJobRecord>[0], atAcquisition = false): Shard {
   const shard = buildShard();
   const version = atAcquisition ? ACQUIRED_VERSION : revision(ACQUIRED_VERSION + 1);
-  syncJob(shard, buildJobRecord(record), version, steady(1000), atAcquisition);
+  syncConfirmedJob(shard, buildJobRecord(record), version, steady(1000), atAcquisition);
   return shard;
 }
 
--- a/test/shards/running-totals.test.ts
+++ b/test/shards/running-totals.test.ts
@@ -17,6 +17,7 @@
   type JobId,
   type MachineId,
   type ZoneId,
+  NO_REVISION,
 } from '../../src/model/units.js';
 import {
   addToMachine,
@@ -222,6 +223,7 @@
         spot: false,
         addedAt: steady(0),
         reconciled: this.random(2) === 0,
+        registeredVersion: NO_REVISION,
       }),
     );
   }
--- a/test/shards/sync.test.ts
+++ b/test/shards/sync.test.ts
@@ -10,6 +10,7 @@
   buildJobRecord,
   buildShard,
 } from '../support/shard-builder.js';
+import { syncConfirmedJob } from '../support/confirmed-job.js';
 
 const JOB = 'req-1' as JobId;
 const LATER = revision(ACQUIRED_VERSION + 1);
@@ -26,7 +27,7 @@
   record: Parameters<typeof buildJobRecord>[0],
   version = LATER,
   atAcquisition = false,
-): void => syncJob(shard, buildJobRecord(record), version, steady(1000), atAcquisition);
+): void => syncConfirmedJob(shard, buildJobRecord(record), version, steady(1000), atAcquisition);
 
 test('tasks of a record that is newer than the acquisition wait at once', () => {
   const shard = buildShard();
@@ -86,3 +87,43 @@
   sync(shard, { assigned: [[0, 2]], done: [[0, 2]] }, MUCH_LATER);
   assert.equal(jobOf(shard).waiting.isEmpty, true);
 });
+
+test('tasks of a record ahead of the watch are not started before the watch has passed it', () => {
+  const shard = buildShard();
+  syncJob(shard, buildJobRecord({ assigned: [[0, 4]] }), MUCH_LATER, steady(1000), false);
+  assert.equal(jobOf(shard).waiting.isEmpty, true);
+  assert.deepEqual(jobOf(shard).unconfirmed.ranges(), [[0, 4]]);
+  assert.equal(shard.confirmUpTo(LATER).changed, false);
+  assert.equal(jobOf(shard).waiting.isEmpty, true, 'what was written before the record is not known yet');
+  assert.deepEqual(shard.confirmUpTo(MUCH_LATER).jobs, [jobOf(shard)]);
+  assert.deepEqual(jobOf(shard).waiting.ranges(), [[0, 4]]);
+  assert.equal(jobOf(shard).unconfirmed.isEmpty, true);
+});
+
+test('tasks that a record ahead of the watch adds wait for the watch, and those assigned before go on waiting', () => {
+  const shard = buildShard();
+  sync(shard, { assigned: [[0, 2]] });
+  syncJob(shard, buildJobRecord({ assigned: [[0, 4]] }), MUCH_LATER, steady(1000), false);
+  assert.deepEqual(jobOf(shard).waiting.ranges(), [[0, 2]]);
+  assert.deepEqual(jobOf(shard).unconfirmed.ranges(), [[2, 4]]);
+  syncJob(
+    shard,
+    buildJobRecord({ assigned: [[0, 3]], done: [[2, 3]] }),
+    revision(MUCH_LATER + 1),
+    steady(1000),
+    false,
+  );
+  assert.equal(jobOf(shard).unconfirmed.isEmpty, true, 'done or assigned elsewhere meanwhile');
+  shard.confirmUpTo(revision(MUCH_LATER + 1));
+  assert.deepEqual(jobOf(shard).waiting.ranges(), [[0, 2]]);
+});
+
+test('a machine registered by a record ahead of the watch takes no task before the watch has passed it', () => {
+  const shard = buildShard();
+  shard.confirmUpTo(LATER);
+  const known = addMachineTo(shard, 'm-0', { registeredVersion: LATER });
+  const ahead = addMachineTo(shard, 'm-1', { registeredVersion: MUCH_LATER });
+  assert.deepEqual([known.confirmed, ahead.confirmed], [true, false]);
+  shard.confirmUpTo(MUCH_LATER);
+  assert.equal(ahead.confirmed, true);
+});
--- a/test/simulation/simulation.test.ts
+++ b/test/simulation/simulation.test.ts
@@ -7,7 +7,7 @@
 import { TaskTransferService } from '../../src/overflow/task-transfer.js';
 import type { JobRecord } from '../../src/jobs/record.js';
 import { silentLog } from '../../src/logging/log.js';
-import { Shard, syncJob, type ShardJob } from '../../src/shards/model.js';
+import { Shard, type ShardJob } from '../../src/shards/model.js';
 import { planCycle } from '../../src/scheduling/plan.js';
 import type { SchedulingContext } from '../../src/scheduling/cycle.js';
 import { RangeSet } from '../../src/model/ranges.js';
@@ -39,6 +39,7 @@
 import type { ShardId, SteadyMs } from '../../src/model/units.js';
 import { buildJobSpec } from '../support/job-specs.js';
 import { SAMPLE_USER_JOB } from '../support/user-job.js';
+import { syncConfirmedJob } from '../support/confirmed-job.js';
 
 const SCENARIOS = fileURLToPath(new URL('../../../scenarios/', import.meta.url));
 
@@ -678,7 +679,7 @@
   const spec = buildJobSpec({ id: 'req-1', tasks: 2 });
   const assignments = [{ from: 0, to: 2, shard: shard.id, zone: null }];
   const record = { spec, homeShard: 0, assignments, done: RangeSet.empty() } as unknown as JobRecord;
-  syncJob(shard, record, 1 as never, 0 as SteadyMs, false);
+  syncConfirmedJob(shard, record, 1 as never, 0 as SteadyMs, false);
   const job = shard.jobs.get(spec.id) as ShardJob;
   const machines = [{ type: 't', zone: 'fjord', spot: false, cpus: 64, gpus: 0, memoryGb: 64, count: 1 }];
   let answer: (result: { kind: 'refused' }) => void = () => undefined;
--- a/test/support/cycle-runner.ts
+++ b/test/support/cycle-runner.ts
@@ -1,4 +1,5 @@
 /** Scheduling cycles of one shard, with their decisions as text. */
+import { NO_REVISION } from '../../src/model/units.js';
 import type { InstanceType } from '../../src/cloud/wire.js';
 import type { JobRecord } from '../../src/jobs/record.js';
 import type { JobSpec } from '../../src/jobs/spec.js';
@@ -7,7 +8,6 @@
   allocate,
   newMachine,
   Shard,
-  syncJob,
   release,
   type Allocation,
   type Machine,
@@ -19,6 +19,7 @@
 import type { Team } from '../../src/settings/settings.js';
 import type { TeamId, InstanceTypeId } from '../../src/model/units.js';
 import { buildJobSpec, buildTeam } from './job-specs.js';
+import { syncConfirmedJob } from './confirmed-job.js';
 
 export interface CycleRunnerOptions {
   /** Of every machine. */
@@ -61,6 +62,7 @@
         spot: false,
         addedAt: (options.machinesSince ?? 0) as never,
         reconciled: true,
+        registeredVersion: NO_REVISION,
       });
       this.shard.addMachine(machine);
     }
@@ -77,7 +79,7 @@
     } as unknown as JobRecord;
     this.activeJobs.set(id, record);
     this.guaranteedJobs.update(id as never, record);
-    syncJob(this.shard, record, (this.activeJobs.size + 1) as never, this.now as never, false);
+    syncConfirmedJob(this.shard, record, (this.activeJobs.size + 1) as never, this.now as never, false);
   }
 
   /** A running task of red's on that machine. */
--- a/test/support/shard-builder.ts
+++ b/test/support/shard-builder.ts
@@ -14,7 +14,9 @@
   type InstanceTypeId,
   type JobId,
   type MachineId,
+  type Revision,
   type ZoneId,
+  NO_REVISION,
 } from '../../src/model/units.js';
 import { newMachine, Shard, type Allocation, type Machine } from '../../src/shards/model.js';
 import { buildJobSpec } from './job-specs.js';
@@ -39,7 +41,7 @@
 export function addMachineTo(
   shard: Shard,
   id: string,
-  options: { zone?: string; reconciled?: boolean } = {},
+  options: { zone?: string; reconciled?: boolean; registeredVersion?: Revision } = {},
 ): Machine {
   const machine = newMachine({
     id: id as MachineId,
@@ -49,6 +51,7 @@
     spot: false,
     addedAt: steady(0),
     reconciled: options.reconciled ?? true,
+    registeredVersion: options.registeredVersion ?? NO_REVISION,
   });
   shard.addMachine(machine);
   return machine;
--- a/test/support/shard-fixture.ts
+++ b/test/support/shard-fixture.ts
@@ -21,21 +21,16 @@
   type MachineId,
   type Sequence,
   type ZoneId,
+  NO_REVISION,
 } from '../../src/model/units.js';
-import {
-  allocate,
-  newMachine,
-  Shard,
-  syncJob,
-  type Allocation,
-  type Machine,
-} from '../../src/shards/model.js';
+import { allocate, newMachine, Shard, type Allocation, type Machine } from '../../src/shards/model.js';
 import { requeueAccountedTasks } from '../../src/shards/unaccounted-tasks.js';
 import { commandsInReply } from '../../src/workers/commands.js';
 import { reconcileHeartbeat } from '../../src/workers/reconciliation.js';
 import type { StatusChannel } from '../../src/workers/release-rules.js';
 import type { ActiveTaskStatus, Heartbeat, TaskStatus } from '../../src/workers/wire.js';
 import { buildJobSpec } from './job-specs.js';
+import { syncConfirmedJob } from './confirmed-job.js';
 
 const ZONE = 'east' as ZoneId;
 const TYPE: InstanceType = {
@@ -98,7 +93,7 @@
   /** After a failover the machine has not been heard, and its tasks are unaccounted. */
   constructor(afterFailover = false) {
     this.machine = this.addMachine('m-0', '10.0.0.9:1', { reconciled: !afterFailover });
-    syncJob(this.shard, RECORD, revision(2), steady(0), afterFailover);
+    syncConfirmedJob(this.shard, RECORD, revision(2), steady(0), afterFailover);
     if (afterFailover) return;
     requeueAccountedTasks(this.shard);
     // Tasks are only started on machines that have been heard.
@@ -114,6 +109,7 @@
       spot: options.spot ?? false,
       addedAt: steady(0),
       reconciled: options.reconciled,
+      registeredVersion: NO_REVISION,
     });
     this.shard.addMachine(machine);
     return machine;
