--- a/test/leadership/replaced-leader-ahead-of-watch.test.ts
+++ b/test/leadership/replaced-leader-ahead-of-watch.test.ts
@@ -26,11 +26,10 @@
   };
 }
 
-/** Shard 0 has a new leader; the old one has not heard of it, and reaches a machine that the new one does not reach. */
-async function replaceLeaderUnseen(cluster: FaultInjectionCluster, unreached: string): Promise<void> {
+/** Shard 0 has a new leader, and the old one has not heard of it. */
+async function replaceLeaderUnseen(cluster: FaultInjectionCluster): Promise<void> {
   cluster.watchDelayMs = (node) => (node === OLD_LEADER ? WATCH_DELAY_MS : 0);
   loseLeaseRenewals(cluster, OLD_LEADER);
-  cluster.cutOff([unreached], [1, 2]);
   await cluster.until('another controller leads shard 0', () => cluster.leaderOf(0) > 0);
 }
 
@@ -40,7 +39,8 @@
 test('a replaced leader does not start a job that it accepts before its watch shows the successor', async () => {
   const recorded = new RecordedLines();
   const cluster = await startCluster(6, 3, 24, (node) => recorded.logOf(`n${node}`));
-  await replaceLeaderUnseen(cluster, 'm-0');
+  cluster.cutOff(['m-0'], [1, 2]);
+  await replaceLeaderUnseen(cluster);
   const answer = await cluster.submit(0, 'req-late', { tasks: 2, zone: 'east', runMs: 15_000 });
   assert.equal(answer.status, 201, 'a controller may accept jobs whatever it leads');
   await cluster.step(10_000);
@@ -53,3 +53,20 @@
   for (const task of ['req-late/0', 'req-late/1'])
     assert.equal(startsOf(cluster, task).length, 1, `${task}:\n${cluster.traceLines.join('\n')}`);
 });
+
+test('a replaced leader starts nothing on a machine that it registers before its watch shows the successor', async () => {
+  const cluster = await startCluster(2, 2);
+  await cluster.submit(0, 'req-full', { tasks: 8, zone: 'east', runMs: 600_000 });
+  await cluster.until('the east is full', () => cluster.countRunningTasks('req-full') === 8);
+  await cluster.submit(0, 'req-wait', { team: 'blue', tasks: 2, zone: 'east', runMs: 15_000 });
+  await cluster.step(1000);
+  await replaceLeaderUnseen(cluster);
+  // The successor knows that nothing was started of what waits; both now get a machine that only one of them reaches.
+  await cluster.step(1000);
+  const reachedByOld = cluster.addWorker('large', 'east');
+  cluster.cutOff([reachedByOld], [1, 2]);
+  await cluster.step(1500);
+  cluster.addWorker('large', 'east');
+  await cluster.step(8000);
+  cluster.assertNoViolations('the replaced leader registers a machine');
+});
--- a/test/support/shard-fixture.ts
+++ b/test/support/shard-fixture.ts
@@ -183,8 +183,8 @@
   }
 
   /** The commands in the answer to the machine's last heartbeat. */
-  pendingCommands(): string {
-    return commandsInReply(this.shard, this.machine)
+  pendingCommands(machine = this.machine): string {
+    return commandsInReply(this.shard, machine)
       .map((command) => `${command.kind} ${command.index}@${command.attempt}`)
       .join(', ');
   }
--- a/test/workers/heartbeat-reconciliation.test.ts
+++ b/test/workers/heartbeat-reconciliation.test.ts
@@ -178,3 +178,22 @@
   assert.equal(may({}, 't', 'east', false, 'west'), false);
   assert.equal(may({}, 't', 'east', false, 'east'), true);
 });
+
+/*
+ * A task ran again after it was done. After a failover a late copy of a heartbeat showed it on a machine that it had left,
+ * so the new leader allocated it there. The machine where it had ended listed it as done; since the task was allocated
+ * elsewhere the end was not recorded, and since it was not recorded as ended here the worker was told to forget it: the
+ * answer to the heartbeat with `0:4:exited:done` carried `forget 0@4`. With the next heartbeat of the first machine,
+ * which does not list the task, it waited again.
+ */
+test('a result is kept while a late heartbeat copy shows its task on another machine, and the task does not run again', () => {
+  const fixture = new ShardFixture(true);
+  const other = fixture.addMachine('m-1', '10.0.0.8:1', { reconciled: false });
+  // A copy from before the failover: the task has left this machine since, and ended on the other one.
+  fixture.receiveHeartbeat('heartbeat', '0:3:running', { fencingToken: 6 });
+  fixture.receiveHeartbeat('heartbeat', '0:4:exited:done 1:4:running', { fencingToken: 7 }, other);
+  assert.equal(fixture.pendingCommands(other), '', 'forgotten, nothing would show that the task is done');
+  fixture.receiveHeartbeat('heartbeat', '', { fencingToken: 7 });
+  requeueAccountedTasks(fixture.shard);
+  assert.equal(fixture.describeState(), 'allocated 1@4 waiting -', 'it is done');
+});
