A worker forgets a result only once the store has it; an end counts wherever its task is allocated

Cause: the end of a task that was allocated on another machine, by a late copy of a heartbeat, was not recorded, and what was not recorded was taken for no longer needed. A job that is not known, or whose record cannot be read, was taken for ended.

Change: mayForget asks the store's records alone (Core.isResultRecorded): the job's record has the result, or the job is absent from a complete cache. An exit with 'done' is taken in with every heartbeat that lists it, not with the first alone, and stops an allocation of the task elsewhere. Stopping or releasing an allocation is one function (stopOrRelease), as the scheduler had it for itself.

--- a/src/core.ts
+++ b/src/core.ts
@@ -5,6 +5,7 @@
 import { Mutex } from 'async-mutex';
 import type { CloudClient } from './cloud/client.js';
 import type { InstanceType } from './cloud/wire.js';
+import { activeJobKey } from './jobs/codec.js';
 import { JobRecordCache } from './jobs/job-record-cache.js';
 import type { JobSpec } from './jobs/spec.js';
 import { commandLeaseDuration, workerLeaseDuration } from './leadership/command-lease.js';
@@ -24,6 +25,7 @@
   Millis,
   ShardId,
   SteadyMs,
+  TaskIndex,
 } from './model/units.js';
 import type { FreeCapacity } from './peers/free-capacity.js';
 import { PeerDirectory, type ShardAnnouncement } from './peers/peer-directory.js';
@@ -170,6 +172,16 @@
     return entry ? decodeShardRecord(entry.value) : null;
   }
 
+  /**
+   * Whether the result of a task needs no other trace than the store: the job's record has it, or the job has ended. A job
+   * that is not in the cache has ended only if the cache is complete; one whose record cannot be read has not ended.
+   */
+  isResultRecorded(job: JobId, index: TaskIndex): boolean {
+    const record = this.activeJobs.get(job);
+    if (record) return record.spec.kind === 'service' || record.done.has(index);
+    return this.storeCache.loaded && this.storeCache.get(activeJobKey(job)) === undefined;
+  }
+
   /** Whether a controller holds its membership key; with an incarnation, whether that process holds it. */
   isAlive(node: ControllerId, incarnation: Incarnation | null): boolean {
     const entry = this.storeCache.get(aliveKey(node));
--- a/src/scheduling/task-allocator.ts
+++ b/src/scheduling/task-allocator.ts
@@ -6,8 +6,7 @@
 import type { Core } from '../core.js';
 import {
   allocate,
-  release,
-  requestStop,
+  stopOrRelease,
   type Allocation,
   type Machine,
   type Shard,
@@ -24,14 +23,6 @@
 /** Why a task is stopped, for the log; `planned`: preempted, or to end its gang's attempt. */
 type StopReason = 'planned' | 'relocated' | 'job ended' | 'interruption notice';
 
-/** The launch has not been sent in any form, so that no machine can hold the task. */
-const isUnsent = (allocation: Allocation): boolean =>
-  allocation.phase === 'ordered' &&
-  allocation.launchPending &&
-  !allocation.launchInFlight &&
-  !allocation.unacknowledged &&
-  allocation.answeredSequence === null;
-
 /** An allocation whose launch is still to be sent. */
 function newAllocation(
   job: ShardJob,
@@ -133,11 +124,7 @@
       },
       'stop',
     );
-    if (isUnsent(allocation)) {
-      release(shard, machine, allocation);
-      return;
-    }
-    requestStop(shard, machine, allocation, graceS);
+    stopOrRelease(shard, machine, allocation, graceS);
   }
 
   /** The job has ended: stops every task of it. Each uses quota and capacity until a heartbeat shows it gone. */
--- a/src/shards/allocation-changes.ts
+++ b/src/shards/allocation-changes.ts
@@ -110,8 +110,22 @@
   shard.queue.add(job);
 }
 
+/** The launch has not been sent in any form, so that no machine can hold the task. */
+const isUnsent = (allocation: Allocation): boolean =>
+  allocation.phase === 'ordered' &&
+  allocation.launchPending &&
+  !allocation.launchInFlight &&
+  !allocation.unacknowledged &&
+  allocation.answeredSequence === null;
+
+/** The task is not to run on: it is released if nothing of it has been sent, and otherwise told to stop. */
+export function stopOrRelease(shard: Shard, machine: Machine, allocation: Allocation, graceS: number): void {
+  if (isUnsent(allocation)) release(shard, machine, allocation);
+  else requestStop(shard, machine, allocation, graceS);
+}
+
 /** The task is to stop, within so many seconds: its machine is told directly, and by the answers to its heartbeats. */
-export function requestStop(shard: Shard, machine: Machine, allocation: Allocation, graceS: number): void {
+function requestStop(shard: Shard, machine: Machine, allocation: Allocation, graceS: number): void {
   allocation.stop = { grace: graceS, direct: 'due' };
   shard.stopping.add(allocation);
   shard.machinesWithPendingCommands.add(machine);
--- a/src/shards/allocation.ts
+++ b/src/shards/allocation.ts
@@ -50,7 +50,7 @@
   runningSince: SteadyMs | null;
   /** When it was first seen to wait for the other tasks of its gang. Changed by reconciliation. */
   waitingForGangSince: SteadyMs | null;
-  /** null: it is to go on. Set by `requestStop`; `direct` is changed by the direct commands. */
+  /** null: it is to go on. Set by `stopOrRelease`; `direct` is changed by the direct commands. */
   stop: StopRequest | null;
   /** A direct request that carries its launch has been sent and not concluded. Changed by the direct commands. */
   launchInFlight: boolean;
--- a/src/shards/model.ts
+++ b/src/shards/model.ts
@@ -1,6 +1,6 @@
 /** The public face of the shard model: what other folders use of it. */
 export type { Allocation, ExitedTask, UnacknowledgedLaunch } from './allocation.js';
-export { addToMachine, allocate, release, requestStop } from './allocation-changes.js';
+export { addToMachine, allocate, release, stopOrRelease } from './allocation-changes.js';
 export {
   minimumToStart,
   requiredZone,
--- a/src/workers/commands.ts
+++ b/src/workers/commands.ts
@@ -5,7 +5,7 @@
 import type { Log } from '../logging/log.js';
 import { taskId, type Seconds } from '../model/units.js';
 import type { Allocation, Machine, Shard } from '../shards/model.js';
-import { mayForget } from './release-rules.js';
+import { mayForget, type ResultRecords } from './release-rules.js';
 import type { WorkerCommand } from './wire.js';
 
 /** Commands of one kind in a message: keeps its one line well under 64 KiB. */
@@ -36,12 +36,12 @@
   grace: (stop?.grace ?? 0) as Seconds,
 });
 
-function forgetCommands(shard: Shard, machine: Machine): WorkerCommand[] {
+function forgetCommands(machine: Machine, records: ResultRecords): WorkerCommand[] {
   const commands: WorkerCommand[] = [];
   for (const exitedTask of machine.exitedTasks.values()) {
     const { id, job, index, attempt } = exitedTask;
     const isLaunchedAgain = machine.allocations.get(id)?.attempt === attempt;
-    if (!isLaunchedAgain && mayForget(shard, exitedTask))
+    if (!isLaunchedAgain && mayForget(records, exitedTask))
       commands.push({ kind: 'forget', job, index, attempt });
   }
   return commands;
@@ -64,8 +64,8 @@
 }
 
 /** For the answer to a heartbeat: all that the worker does not show yet. Marks launches as sent in this answer. */
-export function commandsInReply(shard: Shard, machine: Machine): WorkerCommand[] {
-  const commands = forgetCommands(shard, machine);
+export function commandsInReply(machine: Machine, records: ResultRecords): WorkerCommand[] {
+  const commands = forgetCommands(machine, records);
   for (const allocation of machine.allocations.values()) {
     if (commands.length >= MAX_COMMANDS) break;
     if (allocation.stop) commands.push(stopCommand(allocation));
@@ -79,7 +79,7 @@
 }
 
 /** For a direct request: what is due and not yet sent, which is marked as sent. Exits ride along with that only. */
-export function takeDirectCommands(shard: Shard, machine: Machine): CommandBatch {
+export function takeDirectCommands(machine: Machine, records: ResultRecords): CommandBatch {
   const stops: WorkerCommand[] = [];
   const launches: Allocation[] = [];
   for (const allocation of machine.allocations.values()) {
@@ -94,7 +94,7 @@
     }
   }
   if (stops.length + launches.length === 0) return FENCING_TOKEN_ONLY;
-  const commands = [...stops, ...forgetCommands(shard, machine), ...launches.map(startCommand)];
+  const commands = [...stops, ...forgetCommands(machine, records), ...launches.map(startCommand)];
   return { commands: commands.slice(0, MAX_COMMANDS * 2), launches };
 }
 
--- a/src/workers/direct-commands.ts
+++ b/src/workers/direct-commands.ts
@@ -13,7 +13,7 @@
 import { FENCING_TOKEN_ONLY, logForgotten, takeDirectCommands, type CommandBatch } from './commands.js';
 import type { ShardUpdates } from './shard-updates.js';
 import { reconcileHeartbeat } from './reconciliation.js';
-import { hasUnacknowledgedLaunch } from './release-rules.js';
+import { hasUnacknowledgedLaunch, type ResultRecords } from './release-rules.js';
 import { decodeHeartbeat, encodeDirectCommands, WorkerPath, WorkerStatus, type Heartbeat } from './wire.js';
 
 const CALL_TIMEOUT = millis(2000);
@@ -25,7 +25,7 @@
 const MIN_CONCURRENT_CALLS = 16;
 
 /** What direct commands use of the controller. */
-export interface DirectCommandsDependencies {
+export interface DirectCommandsDependencies extends ResultRecords {
   readonly clock: Clock;
   readonly log: Log;
   readonly settings: Pick<Settings, 'maxConnections'>;
@@ -63,7 +63,7 @@
     for (const machine of shard.machinesWithPendingCommands) {
       // After a failover there are hundreds of machines to call, and each call takes a connection.
       if (this.activeCalls >= this.maxConcurrentCalls) return;
-      const next = nextCall(shard, machine, now);
+      const next = nextCall(shard, machine, now, this.controller);
       if (next.kind === 'idle') shard.machinesWithPendingCommands.delete(machine);
       // Not awaited: the outcome is applied under the lock, and the dispatch goes on with the other machines.
       if (next.kind === 'send') void this.send(shard, machine, next.batch);
@@ -125,16 +125,16 @@
 }
 
 /** What to send to a machine now; what a batch contains is marked as sent. */
-function nextCall(shard: Shard, machine: Machine, now: SteadyMs): NextCall {
+function nextCall(shard: Shard, machine: Machine, now: SteadyMs, records: ResultRecords): NextCall {
   if (machine.scalingIn) return IDLE;
   if (machine.directRequestInFlight || machine.address === '') return WAIT;
   const tokenIsOutdated = shard.fencingToken > machine.fencingToken;
   const mayRetry = now >= machine.quarantinedUntil;
   if (!machine.reconciled && tokenIsOutdated) return mayRetry ? SEND_FENCING_TOKEN : WAIT;
   if (machine.unreachableSince !== null)
-    return mayRetry ? { kind: 'send', batch: takeDirectCommands(shard, machine) } : WAIT;
+    return mayRetry ? { kind: 'send', batch: takeDirectCommands(machine, records) } : WAIT;
   if (machine.lastHeardAt === null) return IDLE;
-  const batch = takeDirectCommands(shard, machine);
+  const batch = takeDirectCommands(machine, records);
   if (batch.commands.length > 0) return { kind: 'send', batch };
   if (!tokenIsOutdated || !hasUnacknowledgedLaunch(machine, () => true)) return IDLE;
   return mayRetry ? SEND_FENCING_TOKEN : WAIT;
--- a/src/workers/heartbeat-handler.ts
+++ b/src/workers/heartbeat-handler.ts
@@ -16,6 +16,7 @@
 import { commandsInReply, logForgotten } from './commands.js';
 import type { ShardUpdates } from './shard-updates.js';
 import { reconcileHeartbeat } from './reconciliation.js';
+import type { ResultRecords } from './release-rules.js';
 import { encodeRedirect, encodeReply, parseHeartbeat, WorkerStatus, type Heartbeat } from './wire.js';
 
 /** A worker waits 4 s for its answer. */
@@ -36,7 +37,7 @@
 const MALFORMED: HttpResponse = { status: WorkerStatus.malformed, body: { error: 'not a report' } };
 
 /** What the heartbeat handler uses of the controller. */
-export interface HeartbeatHandlerDependencies {
+export interface HeartbeatHandlerDependencies extends ResultRecords {
   readonly clock: Clock;
   readonly log: Log;
   readonly settings: Pick<Settings, 'node'>;
@@ -132,7 +133,7 @@
   private renewLease(shard: Shard, machine: Machine, heartbeat: Heartbeat, now: SteadyMs): HttpResponse {
     const context = this.shardUpdates.reconciliationContext(now);
     if (!reconcileHeartbeat(shard, machine, heartbeat, 'heartbeat', context)) return this.refuse('outdated');
-    const commands = commandsInReply(shard, machine);
+    const commands = commandsInReply(machine, this.controller);
     logForgotten(this.controller.log, shard, machine, commands);
     if (!machine.reconciled) {
       shard.machinesWithPendingCommands.add(machine);
--- a/src/workers/release-rules.ts
+++ b/src/workers/release-rules.ts
@@ -5,7 +5,7 @@
  * clock; they decide, and the callers act.
  */
 import type { Log } from '../logging/log.js';
-import type { Millis, Revision, Seconds, SteadyMs } from '../model/units.js';
+import type { JobId, Millis, Revision, Seconds, SteadyMs, TaskIndex } from '../model/units.js';
 import { millis, plus } from '../model/units.js';
 import {
   release,
@@ -100,17 +100,22 @@
   return false;
 }
 
+/** What the store is known to say about results. */
+export interface ResultRecords {
+  /** The task's result needs no other trace: its job's record has it, or the job has certainly ended. */
+  isResultRecorded(job: JobId, index: TaskIndex): boolean;
+}
+
 /**
  * Whether an exited task may be removed from its worker's memory.
  *
  * Prevents: a launch of the same attempt arrives after the removal, and the worker, which does not know the attempt
- * any more, starts it anew; and: the controller ends between the removal and the write of the task's end, and its
- * successor finds no trace that the task is done.
+ * any more, starts it anew; and: the result is removed before the store has it, since the controller ends in between,
+ * does not know the job yet or takes the task to be elsewhere, and the task runs again after it was done.
  */
-export function mayForget(shard: Shard, exitedTask: ExitedTask): boolean {
+export function mayForget(records: ResultRecords, exitedTask: ExitedTask): boolean {
   if (exitedTask.unacknowledged) return false;
-  const job = shard.jobs.get(exitedTask.job);
-  return exitedTask.cause !== 'done' || !job || !job.finished.has(exitedTask.index);
+  return exitedTask.cause !== 'done' || records.isResultRecorded(exitedTask.job, exitedTask.index);
 }
 
 /**
--- a/src/workers/task-exits.ts
+++ b/src/workers/task-exits.ts
@@ -9,6 +9,7 @@
 import {
   isAssignedTo,
   release,
+  stopOrRelease,
   withdrawFromQueue,
   type Allocation,
   type ExitedTask,
@@ -62,7 +63,7 @@
     if (allocation) {
       seen.add(id);
       onTaskExited(shard, machine, allocation, task, context);
-    } else if (!previous && task.cause === 'done') markFinished(shard, task);
+    } else if (task.cause === 'done') markFinished(shard, task);
   }
   return exitedTasks;
 }
@@ -119,17 +120,24 @@
 function markFinished(shard: Shard, task: ExitedTaskStatus): void {
   const job = shard.jobs.get(task.job);
   if (!job || job.spec.kind === 'service' || job.record.done.has(task.index)) return;
-  if (!isAssignedTo(shard, task.job, task.index)) return;
+  if (job.finished.has(task.index) || !isAssignedTo(shard, task.job, task.index)) return;
   if (job.gangHistory) {
     markGangFinished(shard, job);
     return;
   }
-  if (shard.allocations.has(taskId(task.job, task.index))) return;
   job.finished.add(task.index);
+  stopAllocationElsewhere(shard, task);
   shard.jobsWithUnrecordedEnds.add(job);
   withdrawFromQueue(job, task.index, task.index + 1);
 }
 
+/** The task has ended: where it is allocated, by a late copy of a heartbeat or in fact, it is not to run on. */
+function stopAllocationElsewhere(shard: Shard, { job, index }: ExitedTaskStatus): void {
+  const allocation = shard.allocations.get(taskId(job, index));
+  const machine = allocation && shard.machines.get(allocation.machine);
+  if (machine) stopOrRelease(shard, machine, allocation, 0);
+}
+
 /** The tasks of a gang complete together: one that is done says that all are. */
 function markGangFinished(shard: Shard, job: ShardJob): void {
   job.finished.addRange(0, job.spec.tasks);
--- a/test/shards/allocation-changes.test.ts
+++ b/test/shards/allocation-changes.test.ts
@@ -7,7 +7,7 @@
   allocate,
   freeResources,
   release,
-  requestStop,
+  stopOrRelease,
   type Shard,
   type ShardJob,
 } from '../../src/shards/model.js';
@@ -74,7 +74,7 @@
   const present = addMachineTo(shard, 'm-1');
   const stopped = buildAllocation(shard, present, 0);
   allocate(shard, present, stopped);
-  requestStop(shard, present, stopped, 0);
+  stopOrRelease(shard, present, stopped, 0);
   const delayed = buildAllocation(shard, left, 0);
   allocate(shard, left, delayed);
   release(shard, left, delayed);
--- a/test/support/shard-fixture.ts
+++ b/test/support/shard-fixture.ts
@@ -27,7 +27,7 @@
 import { requeueAccountedTasks } from '../../src/shards/unaccounted-tasks.js';
 import { commandsInReply } from '../../src/workers/commands.js';
 import { reconcileHeartbeat } from '../../src/workers/reconciliation.js';
-import type { StatusChannel } from '../../src/workers/release-rules.js';
+import type { ResultRecords, StatusChannel } from '../../src/workers/release-rules.js';
 import type { ActiveTaskStatus, Heartbeat, TaskStatus } from '../../src/workers/wire.js';
 import { buildJobSpec } from './job-specs.js';
 import { syncConfirmedJob } from './confirmed-job.js';
@@ -89,6 +89,10 @@
   /** When heartbeats are received. */
   now = steady(1000);
   private sequence = 0;
+  /** The store has no result of the shard's jobs, and knows no other job. */
+  private readonly records: ResultRecords = {
+    isResultRecorded: (job, index) => this.shard.jobs.get(job)?.record.done.has(index) ?? true,
+  };
 
   /** After a failover the machine has not been heard, and its tasks are unaccounted. */
   constructor(afterFailover = false) {
@@ -184,7 +188,7 @@
 
   /** The commands in the answer to the machine's last heartbeat. */
   pendingCommands(machine = this.machine): string {
-    return commandsInReply(this.shard, machine)
+    return commandsInReply(machine, this.records)
       .map((command) => `${command.kind} ${command.index}@${command.attempt}`)
       .join(', ');
   }
--- a/test/workers/direct-commands.test.ts
+++ b/test/workers/direct-commands.test.ts
@@ -19,6 +19,7 @@
     heartbeatIntervalMs: 1000,
     requestCycle: () => undefined,
     mayCommand: () => this.mayCommand,
+    isResultRecorded: () => true,
     exclusive: <T>(work: () => T): Promise<T> => Promise.resolve(work()),
   };
   private readonly client = {
--- a/test/workers/heartbeat-answers.test.ts
+++ b/test/workers/heartbeat-answers.test.ts
@@ -30,6 +30,7 @@
     heartbeatIntervalMs: 1000,
     requestCycle: () => undefined,
     mayCommand: () => this.mayCommand,
+    isResultRecorded: () => true,
     exclusive: <T>(work: () => T): Promise<T> => Promise.resolve(work()),
     shardRecord: (): ShardRecord | null => this.leader && ({ leader: this.leader } as ShardRecord),
     heardWithin: () => this.leaderIsHeard,
