--- /dev/null
+++ b/test/store/list-of-several-pages.test.ts
@@ -0,0 +1,94 @@
+/**
+ * A list of several pages is read at several revisions. The page with the jobs was read at revision 3; then a job was
+ * created (revision 4) and its shard acquired (revision 5), and the page with the shards showed the acquisition. The
+ * cache called itself loaded and complete up to revision 3, with the shard's record of revision 5 and without the job of
+ * revision 4. Whoever decides by what is not in the cache then takes a running job for one that has ended: its task's
+ * result was forgotten, and the task ran again after it was done.
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { silentLog } from '../../src/logging/log.js';
+import type { Call, CallOutcome } from '../../src/http/client.js';
+import type { StoreKey } from '../../src/model/units.js';
+import { millis } from '../../src/model/units.js';
+import { parseSettings } from '../../src/settings/settings.js';
+import { StoreCache } from '../../src/store/cache.js';
+import { KeyValueClient } from '../../src/store/client.js';
+import { StoreWatcher } from '../../src/store/watcher.js';
+import { FakeStore } from '../support/fake-store.js';
+import { SimulatedClock } from '../support/simulated-clock.js';
+import { settingsText, SMALL_CLUSTER } from '../support/simulated-cluster.js';
+
+const JOB = 'c/live/req-1' as StoreKey;
+const SHARD = 'c/parts/0' as StoreKey;
+const PAGE_KEYS = 1;
+
+/** A watcher of a store whose lists have one key a page; a test says what happens between the pages. */
+class PagedStore {
+  readonly clock = new SimulatedClock();
+  readonly store = new FakeStore(this.clock, SMALL_CLUSTER.storeLimits);
+  readonly cache = new StoreCache(
+    () => undefined,
+    () => this.onComplete(),
+  );
+  readonly requests: string[] = [];
+  beforePage: (page: number) => void = () => undefined;
+  onComplete: () => void = () => undefined;
+  answer: (path: string, outcome: CallOutcome) => CallOutcome = (_, outcome) => outcome;
+  private pages = 0;
+
+  put(key: string, value: unknown): void {
+    this.store.applyTransaction({ when: [], apply: [{ put: key, data: value }] });
+  }
+
+  start(): void {
+    const caller = { call: (call: Call) => this.call(call) };
+    const settings = parseSettings(settingsText(0), 'n0.toml');
+    const client = new KeyValueClient(caller, caller, this.clock, settings, () => 0.5);
+    const watcher = new StoreWatcher(
+      client,
+      this.cache,
+      'c/',
+      millis(2000),
+      millis(25),
+      this.clock,
+      () => 0.5,
+      silentLog(),
+    );
+    void watcher.run();
+  }
+
+  private async call(call: Call): Promise<CallOutcome> {
+    this.requests.push(call.path);
+    if (!call.path.startsWith('/kv?')) return this.answer(call.path, await this.store.call('n0', call));
+    this.pages += 1;
+    this.beforePage(this.pages);
+    const path = call.path.replace(/most=\d+/, `most=${PAGE_KEYS}`);
+    return this.answer(path, await this.store.call('n0', { ...call, path }));
+  }
+}
+
+/** Three keys; after the second page has been read a job is created and its shard acquired. */
+function storeThatChangesBetweenPages(): PagedStore {
+  const paged = new PagedStore();
+  paged.put('c/alive/n0', 'a');
+  paged.put('c/live/req-5', 'old');
+  paged.put(SHARD, 'n1');
+  paged.beforePage = (page) => {
+    if (page !== 3) return;
+    paged.put(JOB, 'new');
+    paged.put(SHARD, 'n0');
+  };
+  return paged;
+}
+
+test('a list whose pages differ in revision is loaded as the state of one revision', async () => {
+  const paged = storeThatChangesBetweenPages();
+  let atLoad: unknown = null;
+  paged.onComplete = () => {
+    atLoad ??= [paged.cache.get(SHARD)?.value, paged.cache.get(JOB)?.value, paged.cache.revision];
+  };
+  paged.start();
+  await paged.clock.advance(1000);
+  assert.deepEqual(atLoad, ['n0', 'new', 5]);
+});
