A list of several pages is loaded as the state of one revision

Cause: the pages of a list are read at several revisions. The cache was used with a shard's record that was newer than the job records beside it, and what it lacked was taken for absent.

Change: the watcher asks for the changes between the first and the last page before it loads a list, and loads nothing without them. Pages that end early, go back in revision, repeat keys or have entries newer than themselves are refused and logged, and the list is read again; so is a watch that goes back.

--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -21,6 +21,7 @@
   type ReadResult,
   type WatchResult,
 } from './outcomes.js';
+import { Listing } from './listing.js';
 import { QUEUE_TIMEOUT, RateLimitedSender, type Caller } from './rate-limited-sender.js';
 import { RequestPriority } from './rate-limiter.js';
 import { StoreRateLimits, type StoreUsage } from './rate-limits.js';
@@ -35,7 +36,6 @@
   watchPath,
   type Change,
   type Condition,
-  type Entry,
 } from './wire.js';
 
 export type { CompareAndSwapResult, ReadResult } from './outcomes.js';
@@ -124,20 +124,17 @@
    * read may be missing from the list, and a watch from the first page's revision shows it.
    */
   async list(prefix: string): Promise<ListResult> {
-    const entries: Entry[] = [];
-    let firstRevision: Revision | null = null;
-    let after: string | null = null;
-    for (let pages = 1; ; pages += 1) {
-      const path = listPath(prefix, after, LIST_PAGE_SIZE);
+    const listing = new Listing();
+    for (;;) {
+      const path = listPath(prefix, listing.after, LIST_PAGE_SIZE);
       const call: Call = { method: 'GET', path, timeout: REQUEST_TIMEOUT };
       const page = toEntryPage(await this.sender.send(call, RequestPriority.leadership, 0));
       if (!page) return { kind: 'failed' };
-      firstRevision ??= page.revision;
-      entries.push(...page.entries);
-      const last = page.entries.at(-1);
-      if (!page.more || !last)
-        return { kind: 'listed', entries, revision: firstRevision, lastRevision: page.revision, pages };
-      after = last.key;
+      const defect = listing.addPage(page);
+      if (defect) return { kind: 'inconsistent', defect };
+      const { entries, revision, lastRevision, pages } = listing;
+      if (!page.more && revision !== null && lastRevision !== null)
+        return { kind: 'listed', entries, revision, lastRevision, pages };
     }
   }
 
--- a/src/store/outcomes.ts
+++ b/src/store/outcomes.ts
@@ -5,6 +5,7 @@
  */
 import type { CallOutcome } from '../http/client.js';
 import type { LeaseId, Revision, StoreKey } from '../model/units.js';
+import type { PageDefect } from './listing.js';
 import { HttpStatus } from './http-status.js';
 import {
   decodeConflict,
@@ -50,6 +51,8 @@
       readonly lastRevision: Revision;
       readonly pages: number;
     }
+  /** Nothing is known: the pages are not those of one list. */
+  | { readonly kind: 'inconsistent'; readonly defect: PageDefect }
   /** Nothing is known: a page was never sent, was refused, or had no readable answer. */
   | { readonly kind: 'failed' };
 
--- a/src/store/watcher.ts
+++ b/src/store/watcher.ts
@@ -7,6 +7,8 @@
 import { millis } from '../model/units.js';
 import type { KeyValueClient } from './client.js';
 import type { StoreCache } from './cache.js';
+import { applyChanges } from './listing.js';
+import type { ListResult } from './outcomes.js';
 import { sleep } from './sleep.js';
 
 /** The pause after a failure doubles from the first to the second; each is drawn from half to one and a half times it. */
@@ -15,6 +17,12 @@
 const MIN_BACKOFF_JITTER = 0.5;
 const NO_DELAY = millis(0);
 
+/** How often the changes between the pages of a list are asked for before the list is read again. */
+const MAX_COMPLETION_ATTEMPTS = 10;
+
+type Snapshot = Extract<ListResult, { kind: 'listed' }>;
+type CompleteSnapshot = Pick<Snapshot, 'entries' | 'revision'>;
+
 /** Fills one cache from one prefix of the store, for as long as the process runs. */
 export class StoreWatcher {
   private backoffMs = 0;
@@ -61,8 +69,11 @@
   private async loadOnce(): Promise<Millis> {
     const requestedAt = this.clock.now();
     const snapshot = await this.client.list(this.prefix);
-    if (snapshot.kind === 'failed') return this.recordFailure();
-    this.cache.loadSnapshot(snapshot.entries, snapshot.revision, requestedAt);
+    if (snapshot.kind === 'inconsistent') this.log.error({ defect: snapshot.defect }, 'list is inconsistent');
+    if (snapshot.kind !== 'listed') return this.recordFailure();
+    const completed = await this.completeSnapshot(snapshot);
+    if (!completed) return this.recordFailure();
+    this.cache.loadSnapshot(completed.entries, completed.revision, requestedAt);
     this.recordSuccess();
     const { entries, pages, revision, lastRevision } = snapshot;
     const durationMs = this.clock.now() - requestedAt;
@@ -70,6 +81,26 @@
     return NO_DELAY;
   }
 
+  /**
+   * The list as of one revision: with the changes made while its pages were read. null: they are not known, and the pages
+   * alone do not say what is absent.
+   *
+   * Prevents: a page shows that this process leads a shard, an earlier one lacks a job of the shard, and the job is taken
+   * for one that has ended.
+   */
+  private async completeSnapshot(snapshot: Snapshot): Promise<CompleteSnapshot | null> {
+    const { entries, revision, lastRevision } = snapshot;
+    if (revision === lastRevision) return { entries, revision };
+    for (let attempt = 0; attempt < MAX_COMPLETION_ATTEMPTS; attempt += 1) {
+      const changes = await this.client.watch(this.prefix, revision, NO_DELAY);
+      if (changes.kind === 'compacted') return null;
+      if (changes.kind === 'watched' && changes.revision >= lastRevision)
+        return { entries: applyChanges(entries, changes.events), revision: changes.revision };
+      await sleep(this.clock, millis(MIN_BACKOFF_MS));
+    }
+    return null;
+  }
+
   /** Applies one watch; how long to wait before the next request. */
   private async watchOnce(): Promise<Millis> {
     const requestedAt = this.clock.now();
@@ -81,6 +112,7 @@
       case 'failed':
         return this.recordFailure();
       case 'watched':
+        if (result.revision < this.cache.revision) return this.recordFailure();
         this.cache.applyEvents(result.events, result.revision, requestedAt);
         this.recordSuccess();
         return result.events.length > 0 ? this.minInterval : NO_DELAY;
--- a/test/store/list-of-several-pages.test.ts
+++ b/test/store/list-of-several-pages.test.ts
@@ -92,3 +92,56 @@
   await paged.clock.advance(1000);
   assert.deepEqual(atLoad, ['n0', 'new', 5]);
 });
+
+test('keys deleted while the pages of a list are read are not in the cache when it is loaded', async () => {
+  const paged = storeThatChangesBetweenPages();
+  paged.beforePage = (page) => {
+    if (page !== 3) return;
+    paged.store.applyTransaction({ when: [], apply: [{ drop: 'c/live/req-5' }] });
+    paged.put(SHARD, 'n0');
+  };
+  let atLoad: unknown = null;
+  paged.onComplete = () => {
+    atLoad ??= [paged.cache.get(SHARD)?.value, paged.cache.get('c/live/req-5' as StoreKey)?.value];
+  };
+  paged.start();
+  await paged.clock.advance(1000);
+  assert.deepEqual(atLoad, ['n0', undefined]);
+});
+
+test('the cache is not loaded while the changes between the pages are not known', async () => {
+  const paged = storeThatChangesBetweenPages();
+  paged.beforePage = () => {
+    paged.put(JOB, 'new');
+    paged.put(SHARD, 'n0');
+  };
+  paged.answer = (path, outcome) => (path.startsWith('/follow') ? { kind: 'unknown' } : outcome);
+  paged.start();
+  await paged.clock.advance(5000);
+  assert.equal(paged.cache.loaded, false);
+  paged.answer = (_, outcome) => outcome;
+  await paged.clock.advance(3000);
+  assert.equal(paged.cache.loaded, true);
+  assert.equal(paged.cache.get(JOB)?.value, 'new');
+});
+
+test('a list that ends before its last page, goes back in revision or repeats keys is read again', async () => {
+  const badPages: ((body: Record<string, unknown>) => Record<string, unknown>)[] = [
+    (body) => ({ ...body, entries: [], hasNext: true }),
+    (body) => ({ ...body, ledger: 1 }),
+    (body) => ({ ...body, entries: [{ path: 'c/alive/n0', data: 'a', entry: 1 }] }),
+  ];
+  for (const [index, spoil] of badPages.entries()) {
+    const paged = storeThatChangesBetweenPages();
+    paged.answer = (path, outcome) =>
+      path.includes('from=c%2Flive') && outcome.kind === 'answer'
+        ? { ...outcome, body: spoil(outcome.body as Record<string, unknown>) }
+        : outcome;
+    paged.start();
+    await paged.clock.advance(3000);
+    assert.equal(paged.cache.loaded, false, `page ${index}`);
+    paged.answer = (_, outcome) => outcome;
+    await paged.clock.advance(5000);
+    assert.equal(paged.cache.get(SHARD)?.value, 'n0', `page ${index}`);
+  }
+});
