Starts are checked against their invariants at run time; violations are error lines and a counter

Cause: nothing said at run time that a start rested on a record ahead of the watch, or on a shard led by somebody else.

Change: violatedByStart looks at the task, its job, its machine and the shard's record once more where a start is carried out; a violation is logged with all the facts, counted in 'controller statistics', and the start is not made.

--- a/src/controller/periodic-work.ts
+++ b/src/controller/periodic-work.ts
@@ -21,7 +21,14 @@
 /** What the periodic work uses of the controller's shared state. */
 export type PeriodicContext = Pick<
   Core,
-  'clock' | 'exclusive' | 'heartbeatIntervalMs' | 'log' | 'requestCycle' | 'shards' | 'storeCache'
+  | 'clock'
+  | 'exclusive'
+  | 'heartbeatIntervalMs'
+  | 'log'
+  | 'requestCycle'
+  | 'shards'
+  | 'storeCache'
+  | 'invariants'
 >;
 
 /** The slices with work to do at intervals. */
@@ -82,6 +89,7 @@
         completeUpTo,
         cacheAgeMs: now - confirmedAt,
         refusedHeartbeats: services.workers.heartbeatRefusals(),
+        violations: context.invariants.violations.snapshot(),
       },
       'controller statistics',
     );
--- a/src/core.ts
+++ b/src/core.ts
@@ -9,6 +9,7 @@
 import { JobRecordCache } from './jobs/job-record-cache.js';
 import type { JobSpec } from './jobs/spec.js';
 import { commandLeaseDuration, workerLeaseDuration } from './leadership/command-lease.js';
+import { InvariantMonitor } from './logging/invariant-monitor.js';
 import type { Log } from './logging/log.js';
 import type { Random } from './model/random.js';
 import type { Resources } from './model/resources.js';
@@ -109,6 +110,7 @@
   readonly criticalCapacityByImage = new Map<ShardId, ReadonlyMap<ImageId, Resources>>();
   /** Machines that the store holds, counted by shard. */
   readonly registeredMachines = new RegisteredMachines();
+  readonly invariants: InvariantMonitor;
   readonly retiredMachines = new RetiredMachines(this.registeredMachines);
 
   private readonly mutex = new Mutex();
@@ -121,6 +123,7 @@
     this.clock = dependencies.clock;
     this.clusterClock = dependencies.clusterClock;
     this.log = dependencies.log;
+    this.invariants = new InvariantMonitor(dependencies.log);
     this.incarnation = dependencies.incarnation;
     this.random = dependencies.random;
     this.store = dependencies.store;
--- a/src/scheduling/task-allocator.ts
+++ b/src/scheduling/task-allocator.ts
@@ -14,6 +14,8 @@
 } from '../shards/model.js';
 import { taskId, type Attempt, type JobId, type SteadyMs, type TaskIndex } from '../model/units.js';
 import type { TaskStart, TaskStop } from './cycle.js';
+import { shardKey } from '../shards/codec.js';
+import { violatedByStart } from './start-invariants.js';
 import { gracePeriodS } from './preemption-cost.js';
 import type { RuntimeEstimator } from './runtime-estimator.js';
 
@@ -61,12 +63,35 @@
   startAll(shard: Shard, starts: readonly TaskStart[], now: SteadyMs): void {
     const gangAttempts = new Map<JobId, Attempt>();
     for (const start of starts) {
+      if (this.reportViolation(shard, start)) continue;
       const attempt = start.attempt ?? gangAttempts.get(start.job.id) ?? shard.nextAttempt();
       if (start.job.gangHistory) gangAttempts.set(start.job.id, attempt);
       this.start(shard, start, attempt, now);
     }
   }
 
+  /** A start that violates an invariant is not carried out: the task waits, and the plan before it was wrong. */
+  private reportViolation(shard: Shard, start: TaskStart): boolean {
+    const { invariants, storeCache } = this.core;
+    const { job, index, machine } = start;
+    const storedVersion = storeCache.version(shardKey(shard.id));
+    const violated = violatedByStart(shard, start, storedVersion);
+    if (violated === null) return false;
+    const task = taskId(job.id, index as TaskIndex);
+    const { id, version, fencingToken, acquiredVersion, confirmedUpTo } = shard;
+    const shardFacts = { shard: id, version, storedVersion, fencingToken, acquiredVersion, confirmedUpTo };
+    const { assignedVersion } = job;
+    const { registeredVersion } = machine;
+    invariants.report(violated, {
+      task,
+      machine: machine.id,
+      assignedVersion,
+      registeredVersion,
+      ...shardFacts,
+    });
+    return true;
+  }
+
   private start(shard: Shard, { job, index, machine }: TaskStart, attempt: Attempt, now: SteadyMs): void {
     const allocation = newAllocation(job, index as TaskIndex, machine, attempt, now);
     allocate(shard, machine, allocation);
--- a/test/controller/periodic-work.test.ts
+++ b/test/controller/periodic-work.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { PeriodicWork, type PeriodicServices } from '../../src/controller/periodic-work.js';
+import { InvariantMonitor } from '../../src/logging/invariant-monitor.js';
 import { silentLog } from '../../src/logging/log.js';
 import { ZERO } from '../../src/model/resources.js';
 import { StoreCache } from '../../src/store/cache.js';
@@ -33,6 +34,7 @@
       log: silentLog(),
       shards: new Map(),
       storeCache: new StoreCache(() => undefined),
+      invariants: new InvariantMonitor(silentLog()),
       heartbeatIntervalMs: 1500,
       exclusive: <T>(work: () => T) => Promise.resolve(work()),
       requestCycle: record('request cycle'),
