--- a/src/simulation/clock.ts
+++ b/src/simulation/clock.ts
@@ -21,14 +21,18 @@
 
 /** All events of one simulation. Events of the same time run in the order in which they were scheduled. */
 export class EventQueue {
-  /** True time since the start of the simulation. */
-  now = 0;
+  private time = 0;
   /** Events run so far. */
   count = 0;
   private lastSequence = 0;
-  private stopped = false;
+  protected stopped = false;
   private readonly heap: QueuedEvent[] = [];
 
+  /** True time since the start of the simulation. */
+  get now(): number {
+    return this.time;
+  }
+
   after(delay: number, run: () => void): ScheduledTimer {
     this.lastSequence += 1;
     const event: QueuedEvent = {
@@ -53,12 +57,12 @@
       if (!next || next.at > until) break;
       this.removeFirst();
       if (next.cancelled) continue;
-      this.now = next.at;
+      this.time = next.at;
       this.count += 1;
       next.run();
       await flushPromises();
     }
-    if (!this.stopped) this.now = until;
+    if (!this.stopped) this.time = until;
   }
 
   private insert(event: QueuedEvent): void {
@@ -96,6 +100,8 @@
   /** Counts its process lifetimes: what an earlier one has scheduled never runs. */
   lifetime = 1;
   up = true;
+  /** Called when it begins to stand still, with the duration. */
+  onPause: (duration: number) => void = () => undefined;
   private pausedUntil = 0;
 
   constructor(
@@ -112,6 +118,7 @@
   /** It stands still for a while; its clocks run on, and what arrives meanwhile is handled afterwards, in order. */
   pause(duration: number): void {
     this.pausedUntil = Math.max(this.pausedUntil, this.queue.now + duration);
+    this.onPause(duration);
   }
 
   end(): void {
--- a/src/simulation/cloud.ts
+++ b/src/simulation/cloud.ts
@@ -21,6 +21,8 @@
   readonly listLagS: number;
   /** Machines to be had of each type, zone and kind. */
   readonly capacity: number;
+  /** The first half of every machine's address. */
+  readonly addressPrefix: string;
 }
 
 interface ScaleOutBody {
@@ -147,7 +149,7 @@
       type,
       zone,
       spot,
-      endpoint: `10.1.${Math.floor(number / MACHINES_PER_SUBNET)}.${number % MACHINES_PER_SUBNET}:9000`,
+      endpoint: `${this.options.addressPrefix}.${Math.floor(number / MACHINES_PER_SUBNET)}.${number % MACHINES_PER_SUBNET}:9000`,
       rentedAt: this.queue.now - age,
       readyAt: Infinity,
       failedAt: Infinity,
--- a/src/simulation/controller-node.ts
+++ b/src/simulation/controller-node.ts
@@ -41,7 +41,7 @@
     readonly name: string,
     private readonly settings: Settings,
     private readonly drift: number,
-    private readonly environment: ControllerEnvironment,
+    protected readonly environment: ControllerEnvironment,
   ) {
     this.host = new Host(name, settings.zone, environment.queue);
     this.host.up = false;
--- a/src/simulation/key-value-table.ts
+++ b/src/simulation/key-value-table.ts
@@ -40,6 +40,8 @@
   readonly leases = new Set<number>();
   revision = 0;
   private nextLease = 1;
+  /** Changes that are kept for watches at least. */
+  minKeptChanges = MIN_KEPT_CHANGES;
   private history: StoredChange[] = [];
   /** Changes up to this revision are no longer kept. */
   private compactedRevision = 0;
@@ -75,8 +77,8 @@
 
   private appendToHistory(change: StoredChange): void {
     this.history.push(change);
-    if (this.history.length < 2 * MIN_KEPT_CHANGES) return;
-    const old = this.history.splice(0, this.history.length - MIN_KEPT_CHANGES);
+    if (this.history.length < 2 * this.minKeptChanges) return;
+    const old = this.history.splice(0, this.history.length - this.minKeptChanges);
     this.compactedRevision = old.at(-1)?.entry ?? this.compactedRevision;
   }
 
--- a/src/simulation/simulation.ts
+++ b/src/simulation/simulation.ts
@@ -3,11 +3,11 @@
 import { silentLog, type Log } from '../logging/log.js';
 import { SHARDS_PREFIX } from '../shards/codec.js';
 import { parseSettings } from '../settings/settings.js';
-import type { LogLevel } from '../settings/settings.js';
+import type { LogLevel, Settings } from '../settings/settings.js';
 import { Arrivals } from './arrivals.js';
 import { EventQueue, Host } from './clock.js';
 import { SimulatedCloud } from './cloud.js';
-import type { SimulatedInstanceType } from './cloud-machine.js';
+import type { CloudMachine, SimulatedInstanceType } from './cloud-machine.js';
 import { ControllerNode, type ControllerEnvironment } from './controller-node.js';
 import type { Defect, Defects } from './defects.js';
 import { FaultSchedule } from './fault-schedule.js';
@@ -45,8 +45,26 @@
   /** Controllers' logs go to standard error at this level; none: no logs. */
   readonly logLevel?: LogLevel;
   readonly defects?: readonly Defect[];
+  /** What takes the place of simulated time and controllers, for runs against real processes. */
+  readonly surroundings?: Surroundings;
 }
 
+/** Time, controllers and addresses of a run that is not simulated as a whole. */
+export interface Surroundings {
+  readonly queue: EventQueue;
+  readonly machineAddressPrefix: string;
+  createNode(
+    index: number,
+    settings: Settings,
+    environment: ControllerEnvironment,
+    simulation: Simulation,
+  ): ControllerNode;
+  onMachineReady(machine: CloudMachine, simulation: Simulation): void;
+  onMachineRemoved(machine: CloudMachine): void;
+}
+
+const SIMULATED_MACHINE_ADDRESSES = '10.1';
+
 /** What a run has shown; the fields are those that `simulate run --json` prints. */
 export interface SimulationResult {
   readonly scenario: string;
@@ -62,7 +80,7 @@
 
 /** The simulated cluster of one scenario; an instance runs once. */
 export class Simulation {
-  readonly queue = new EventQueue();
+  readonly queue: EventQueue;
   readonly trace: Trace;
   readonly network: Network;
   readonly storeService: StoreService;
@@ -78,7 +96,7 @@
   readonly userHost: Host;
   /** Share of the jobs that are cancelled at the moment at which they complete. */
   cancelOnCompletionShare = 0;
-  private readonly cloudHost: Host;
+  readonly cloudHost: Host;
   private readonly random: RandomStream;
   private readonly storage = new JobStorage();
   private readonly completedTasksByJob = new Map<string, number>();
@@ -87,7 +105,8 @@
     readonly scenario: Scenario,
     private readonly options: SimulationOptions,
   ) {
-    const { queue } = this;
+    const queue = options.surroundings?.queue ?? new EventQueue();
+    this.queue = queue;
     const { deployment } = scenario;
     this.random = new RandomStream(options.seed);
     this.trace = new Trace(queue, options.keepTrace ?? false);
@@ -144,6 +163,7 @@
 
   private buildCloud(): SimulatedCloud {
     const { types, zones, cloud } = this.scenario.deployment;
+    const { surroundings } = this.options;
     const instanceTypes: SimulatedInstanceType[] = types.map((type) => ({
       name: type.name,
       cpus: type.cpus,
@@ -158,11 +178,23 @@
     }));
     return new SimulatedCloud(
       this.queue,
-      { types: instanceTypes, rps: cloud.rps, listLagS: cloud.list_lag_s, capacity: cloud.capacity },
+      {
+        types: instanceTypes,
+        rps: cloud.rps,
+        listLagS: cloud.list_lag_s,
+        capacity: cloud.capacity,
+        addressPrefix: surroundings?.machineAddressPrefix ?? SIMULATED_MACHINE_ADDRESSES,
+      },
       this.random.fork('cloud'),
       this.trace,
-      (machine) => this.machines.boot(machine),
-      (machine) => this.machines.remove(machine),
+      (machine) => {
+        this.machines.boot(machine);
+        surroundings?.onMachineReady(machine, this);
+      },
+      (machine) => {
+        this.machines.remove(machine);
+        surroundings?.onMachineRemoved(machine);
+      },
     );
   }
 
@@ -220,7 +252,12 @@
     return deployment.controllers.map((_, index) => {
       const name = `n${index}`;
       const settings = parseSettings(formatSettings(deployment, index), `${name}.toml`);
-      return new ControllerNode(name, settings, random.between(0, MAX_CLOCK_DRIFT), buildEnvironment(name));
+      const drift = random.between(0, MAX_CLOCK_DRIFT);
+      const environment = buildEnvironment(name);
+      const { surroundings } = this.options;
+      return surroundings
+        ? surroundings.createNode(index, settings, environment, this)
+        : new ControllerNode(name, settings, drift, environment);
     });
   }
 
--- a/src/simulation/store-service.ts
+++ b/src/simulation/store-service.ts
@@ -50,6 +50,8 @@
   outage = false;
   /** Controllers that alone are refused. */
   readonly refusedControllers = new Set<string>();
+  /** Keys on a page of a list at most. */
+  maxListedKeys = MAX_LISTED_KEYS;
   /** Added to every response. */
   extraDelayMs = 0;
   nextTransactionFate: () => TransactionFate = () => ({ kind: 'normal' });
@@ -121,7 +123,7 @@
   }
 
   private list(url: URL): Response {
-    const limit = Math.min(MAX_LISTED_KEYS, Number(url.searchParams.get('most') ?? MAX_LISTED_KEYS));
+    const limit = Math.min(this.maxListedKeys, Number(url.searchParams.get('most') ?? MAX_LISTED_KEYS));
     const { keys, more } = this.table.list(
       url.searchParams.get('under') ?? '',
       url.searchParams.get('from') ?? '',
