--- a/src/scheduling/task-allocator.ts
+++ b/src/scheduling/task-allocator.ts
@@ -113,6 +113,7 @@
         assignedVersion: job.assignedVersion,
         registeredVersion: machine.registeredVersion,
         acquiredVersion: shard.acquiredVersion,
+        confirmedUpTo: shard.confirmedUpTo,
         completeUpTo: this.core.storeCache.revision,
       },
       'start',
--- a/test/leadership/replaced-leader-ahead-of-watch.test.ts
+++ b/test/leadership/replaced-leader-ahead-of-watch.test.ts
@@ -47,7 +47,7 @@
   cluster.assertNoViolations('the replaced leader accepts a job');
   for (const start of recorded.find('start'))
     assert.ok(
-      Number(start['assignedVersion']) <= Number(start['completeUpTo']),
+      Number(start['assignedVersion']) <= Number(start['confirmedUpTo']),
       `a start was decided by a record ahead of the watch: ${JSON.stringify(start)}`,
     );
   for (const task of ['req-late/0', 'req-late/1'])
--- a/test/soak/soak-run.ts
+++ b/test/soak/soak-run.ts
@@ -9,6 +9,7 @@
 import { formatScenario } from '../../src/simulation/scenario.js';
 import { Simulation, type SimulationResult } from '../../src/simulation/simulation.js';
 import { SHARDS_PREFIX } from '../../src/shards/codec.js';
+import { reserveNetworks } from './loopback-networks.js';
 import type { ProcessNode } from './process-node.js';
 import { soakScenario } from './soak-scenario.js';
 import { SoakSurroundings } from './soak-surroundings.js';
@@ -68,7 +69,7 @@
   mkdirSync(folder, { recursive: true });
   const scenario = soakScenario(seed);
   writeFileSync(join(folder, 'schedule.toml'), formatScenario(scenario));
-  const surroundings = new SoakSurroundings(folder, process.pid);
+  const surroundings = new SoakSurroundings(folder, await reserveNetworks());
   const endProcesses = (): void => surroundings.close();
   process.once('exit', endProcesses);
   const simulation = new Simulation(scenario, { seed, keepTrace: true, defects, surroundings });
--- a/test/soak/soak-surroundings.ts
+++ b/test/soak/soak-surroundings.ts
@@ -9,14 +9,12 @@
 import { formatSettings } from '../../src/simulation/settings-text.js';
 import type { Simulation, Surroundings } from '../../src/simulation/simulation.js';
 import { openGateway, openPeerProxy } from './gateways.js';
+import type { LoopbackNetworks } from './loopback-networks.js';
 import { ProcessNode } from './process-node.js';
 import { RealTimeQueue } from './real-time-queue.js';
 
 const MAIN_PROGRAM = fileURLToPath(new URL('../../src/main.js', import.meta.url));
 const PORTS = { users: 8080, peers: 8081, store: 2379, cloud: 8443, worker: 9000 } as const;
-/** Loopback networks of a run: the first for the controllers and services, the next for the machines. */
-const FIRST_NETWORK = 20;
-const NETWORK_PAIRS = 110;
 
 interface SettingsTable {
   bind: string;
@@ -35,11 +33,11 @@
 
   constructor(
     private readonly folder: string,
-    runId: number,
+    { controllers, machines, reservation }: LoopbackNetworks,
   ) {
-    const first = FIRST_NETWORK + 2 * (runId % NETWORK_PAIRS);
-    this.network = `127.${first}`;
-    this.machineAddressPrefix = `127.${first + 1}`;
+    this.network = controllers;
+    this.machineAddressPrefix = machines;
+    this.servers.push(reservation);
   }
 
   createNode: Surroundings['createNode'] = (index, settings, environment, simulation) => {
