--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -70,6 +70,8 @@
     ...judged.map(({ rule, atS, detail }) => `${rule} at ${atS.toFixed(1)} s: ${detail}`),
     ...result.invariantLines,
     ...(result.unexpectedEnds > 0 ? [`${result.unexpectedEnds} controllers ended by themselves`] : []),
+    ...(result.failedStarts > 0 ? [`${result.failedStarts} controllers could not start`] : []),
+    ...(result.figures['starts'] === 0 ? ['no task was started'] : []),
     ...(result.uncaughtErrors > 0 ? [`${result.uncaughtErrors} uncaught errors`] : []),
   ];
 }
--- a/test/soak/process-node.ts
+++ b/test/soak/process-node.ts
@@ -54,6 +54,11 @@
     if (!this.host.up) return;
     this.environment.trace.add(`${this.name} ends`);
     this.host.end();
+    this.kill();
+  }
+
+  /** Ends the process whatever the simulated host is said to do: none is left behind a run. */
+  kill(): void {
     const { child } = this;
     this.child = null;
     child?.kill('SIGKILL');
--- a/test/soak/soak-run.ts
+++ b/test/soak/soak-run.ts
@@ -29,6 +29,8 @@
   /** Controllers that ended by themselves, and uncaught errors in their logs. */
   readonly unexpectedEnds: number;
   readonly uncaughtErrors: number;
+  /** Controllers that could not start, and without which the run says nothing. */
+  readonly failedStarts: number;
   readonly longestStallMs: number;
   /** The harness stalled too long for rules with time limits. */
   readonly unjudged: boolean;
@@ -94,6 +96,7 @@
     invariantLines: lines.filter((line) => line.includes('"invariant violated"')),
     unexpectedEnds: nodes.reduce((sum, node) => sum + node.unexpectedEnds, 0),
     uncaughtErrors: lines.filter((line) => /uncaught exception|unhandled rejection/.test(line)).length,
+    failedStarts: lines.filter((line) => line.includes('start failed')).length,
     longestStallMs: Math.round(longestStallMs),
     unjudged: longestStallMs > MAX_STALL_MS,
     figures: result.figures,
--- a/test/soak/soak-surroundings.ts
+++ b/test/soak/soak-surroundings.ts
@@ -147,7 +147,7 @@
   }
 
   close(): void {
-    for (const node of this.nodes) node.end();
+    for (const node of this.nodes) node.kill();
     for (const server of this.servers) {
       server.closeAllConnections?.();
       server.close();
