--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -91,6 +91,7 @@
       autoscaler,
       workers,
       machineTransfers,
+      scheduler,
       quotaTransfers,
       peerMessages: this.peerMessages,
     });
--- a/src/controller/periodic-work.ts
+++ b/src/controller/periodic-work.ts
@@ -10,6 +10,7 @@
 import type { MachineTransferService } from '../overflow/machine-transfer.js';
 import type { QuotaTransferService } from '../quota/transfer-service.js';
 import { statisticsOf } from '../shards/statistics.js';
+import type { Scheduler } from '../scheduling/scheduler.js';
 import type { WorkerService } from '../workers/service.js';
 import type { PeerMessages } from './peer-messages.js';
 
@@ -39,6 +40,7 @@
   readonly autoscaler: Pick<Autoscaler, 'scaleOutShards' | 'scaleInShards'>;
   readonly workers: Pick<WorkerService, 'expireLeases' | 'closeUnusedClients' | 'heartbeatRefusals'>;
   readonly machineTransfers: Pick<MachineTransferService, 'expireCordons'>;
+  readonly scheduler: Pick<Scheduler, 'eventCounts'>;
   readonly quotaTransfers: Pick<QuotaTransferService, 'shardQuota'>;
   readonly peerMessages: Pick<PeerMessages, 'announce'>;
 }
@@ -89,6 +91,7 @@
         completeUpTo,
         cacheAgeMs: now - confirmedAt,
         refusedHeartbeats: services.workers.heartbeatRefusals(),
+        scheduling: services.scheduler.eventCounts(),
         violations: context.invariants.violations.snapshot(),
       },
       'controller statistics',
--- a/src/scheduling/cycle.ts
+++ b/src/scheduling/cycle.ts
@@ -2,7 +2,7 @@
 import type { InstanceType } from '../cloud/wire.js';
 import type { JobSpec } from '../jobs/spec.js';
 import type { Resources } from '../model/resources.js';
-import type { Allocation, Machine, ShardJob } from '../shards/model.js';
+import type { Allocation, Machine, Reservation, ShardJob } from '../shards/model.js';
 import type { Team } from '../settings/settings.js';
 import type { Attempt, JobId, MachineId, SteadyMs, TeamId, InstanceTypeId } from '../model/units.js';
 
@@ -44,10 +44,22 @@
   readonly attempt?: Attempt;
 }
 
+/** Why a cycle stops a task: which rule asks for it, and for which task or job room is made. */
+export type StopCause =
+  | {
+      readonly reason: 'capacity';
+      readonly preemptor: JobId;
+      readonly preemptorIndex: number;
+      readonly reservedMachine: MachineId;
+    }
+  | { readonly reason: 'quota'; readonly preemptor: JobId }
+  | { readonly reason: 'broken gang' };
+
 /** Decision: this task stops, and has the grace period to write a checkpoint. */
 export interface TaskStop {
   readonly allocation: Allocation;
   readonly graceS: number;
+  readonly cause: StopCause;
 }
 
 /** Waiting tasks of a job that the cycle could not place. */
@@ -78,11 +90,32 @@
   readonly withoutPreemption: boolean;
 }
 
+/** How the reservation of a machine ended. */
+export type ReservationOutcome =
+  | 'used'
+  | 'started elsewhere'
+  | 'expired'
+  | 'machine gone'
+  | 'machine not schedulable'
+  | 'task no longer waits'
+  | 'turn over'
+  | 'replaced';
+
+/** A reservation that a cycle has ended. */
+export interface EndedReservation {
+  readonly job: JobId;
+  readonly index: number;
+  readonly reservation: Reservation;
+  readonly outcome: ReservationOutcome;
+}
+
 /** All decisions of a cycle. */
 export interface SchedulingPlan {
   readonly starts: TaskStart[];
   readonly stops: TaskStop[];
   readonly reservations: PlannedReservation[];
+  /** For the log and its counters alone. */
+  readonly endedReservations: EndedReservation[];
   readonly unplaced: UnplacedTasks[];
   /** By team: quota that one task, or one gang, needs and that smaller tasks now leave unused. */
   readonly quotaReservations: Map<TeamId, Resources>;
@@ -95,6 +128,7 @@
   starts: [],
   stops: [],
   reservations: [],
+  endedReservations: [],
   unplaced: [],
   quotaReservations: new Map(),
   oversizedGang: null,
--- a/src/scheduling/gangs.ts
+++ b/src/scheduling/gangs.ts
@@ -9,6 +9,7 @@
 import { candidatesFor, type CandidateMachines } from './candidates.js';
 import type { TaskStart } from './cycle.js';
 import { preemptForTask } from './preemption.js';
+import { endReservationByStart, recordObstacle } from './reservation-ends.js';
 import { expireGangReservations, reserveGangMachines, reserveQuota } from './reservations.js';
 import { returnResources, takeResources, type SchedulingCycle } from './scheduling-cycle.js';
 
@@ -40,7 +41,7 @@
     for (const allocation of shard.allocationsByJob.get(job.id) ?? []) {
       if (allocation.stop) continue;
       cycle.stopping.add(allocation);
-      plan.stops.push({ allocation, graceS: action.grace });
+      plan.stops.push({ allocation, graceS: action.grace, cause: { reason: 'broken gang' } });
     }
   }
 }
@@ -72,10 +73,11 @@
   const usageBefore = { ...cycle.teamUsage(job.spec.team) };
   const found = searchForMembers(cycle, job, attempt);
   if (!found.blockedByQuota && found.unplaced.length === 0) {
-    job.reservations.clear();
+    for (const { index, machine } of found.starts) endReservationByStart(cycle, job, index, machine.id);
     plan.starts.push(...found.starts);
     return;
   }
+  recordObstacle(job, found.blockedByQuota ? 'quota' : 'gang incomplete');
   if (!found.blockedByQuota && preemptForGang(cycle, job, found)) return;
   undoSearch(cycle, job, found, usageBefore);
   if (found.blockedByQuota) reserveQuota(cycle, job, job.waiting.size);
--- a/src/scheduling/job-placement.ts
+++ b/src/scheduling/job-placement.ts
@@ -8,6 +8,7 @@
 import { candidatesFor, type CandidateMachines } from './candidates.js';
 import { preemptForTask } from './preemption.js';
 import { preemptForQuota } from './quota-preemption.js';
+import { endReservation, endReservationByStart, recordObstacle } from './reservation-ends.js';
 import { reserveMachine, reserveQuota } from './reservations.js';
 import { returnResources, takeResources, type SchedulingCycle } from './scheduling-cycle.js';
 
@@ -91,11 +92,10 @@
     const zone = requiredZone(job, index);
     const reservation = job.reservations.get(index);
     const reservedMachine = reservation && this.cycle.shard.machines.get(reservation.machine);
-    job.reservations.delete(index);
     if (reservedMachine) returnResources(this.cycle.freeResourcesOn(reservedMachine), this.spec);
     const machine = this.candidatesIn(zone).next(reservedMachine);
     if (reservation && reservedMachine && this.startsSoonerOnReserved(machine, reservedMachine)) {
-      job.reservations.set(index, reservation);
+      reservation.lastObstacle = 'machine not free';
       takeResources(this.cycle.freeResources.get(reservedMachine.id), this.spec);
     } else if (machine) this.startOrPreempt(index, zone, machine, reservedMachine);
     else this.preemptOrReserve(index, zone);
@@ -128,11 +128,13 @@
       this.fetchDelaysUrgentTask(machine) &&
       preemptForTask(cycle, job, index, zone, 'machines with the image');
     if (preempted) {
+      endReservation(cycle, job, index, 'replaced');
       this.blockByCapacity(index, zone);
       return;
     }
     takeResources(cycle.freeResources.get(machine.id), this.spec);
     cycle.addTaskUsage(this.spec);
+    endReservationByStart(cycle, job, index, machine.id);
     cycle.plan.starts.push({ job, index, machine });
   }
 
@@ -154,7 +156,10 @@
   private blockByQuota(index: number): void {
     const { cycle, job, blockedByQuota } = this;
     blockedByQuota.push(index);
-    if (blockedByQuota.length === 1) reserveQuota(cycle, job, 1);
+    if (blockedByQuota.length === 1) {
+      recordObstacle(job, 'quota');
+      reserveQuota(cycle, job, 1);
+    }
     if (this.spec.priority === Priority.critical) preemptForQuota(cycle, job, blockedByQuota.length);
     else this.quotaExhausted = true;
   }
--- a/src/scheduling/plan.ts
+++ b/src/scheduling/plan.ts
@@ -3,17 +3,18 @@
  * jobs, and place each. Pure but for the queue and the reservations of the jobs, which it keeps up to date; everything
  * else that it decides is in the plan that it returns.
  */
-import type { Shard, ShardJob } from '../shards/model.js';
-import type { SchedulingContext, SchedulingPlan } from './cycle.js';
+import type { Reservation, Shard, ShardJob } from '../shards/model.js';
+import type { ReservationOutcome, SchedulingContext, SchedulingPlan } from './cycle.js';
 import { scheduleGang, stopBrokenGangs } from './gangs.js';
 import { orderJobs } from './job-order.js';
 import { scheduleJob } from './job-placement.js';
+import { endReservation, endReservations } from './reservation-ends.js';
 import { SchedulingCycle, takeResources } from './scheduling-cycle.js';
 
 /** Which waiting tasks start where, which tasks stop for them, and which stay unplaced. */
 export function planCycle(shard: Shard, context: SchedulingContext): SchedulingPlan {
   const cycle = new SchedulingCycle(shard, context);
-  const waiting = filterQueue(shard);
+  const waiting = filterQueue(cycle);
   applyReservations(cycle, waiting);
   stopBrokenGangs(cycle);
   const eligible = waiting.filter((job) => context.now >= job.backoffUntil);
@@ -25,12 +26,13 @@
 }
 
 /** Jobs with waiting tasks; the others leave the queue. */
-function filterQueue(shard: Shard): ShardJob[] {
+function filterQueue(cycle: SchedulingCycle): ShardJob[] {
+  const { shard } = cycle;
   const jobs: ShardJob[] = [];
   for (const job of shard.queue) {
     if (!job.waiting.isEmpty && shard.jobs.get(job.id) === job) jobs.push(job);
     else {
-      job.reservations.clear();
+      endReservations(cycle, job, 'task no longer waits');
       shard.queue.delete(job);
     }
   }
@@ -39,17 +41,31 @@
 
 /** Takes reserved resources off what is free, and drops reservations that have ended. */
 function applyReservations(cycle: SchedulingCycle, waiting: readonly ShardJob[]): void {
-  const { shard, context } = cycle;
+  const { shard } = cycle;
   for (const job of waiting) {
-    for (const [index, reservation] of job.reservations) {
-      const machine = shard.machines.get(reservation.machine);
-      const free = machine ? cycle.freeResourcesOn(machine) : null;
-      const ended = !machine || context.now >= reservation.reservedUntil || !job.waiting.has(index);
-      if (ended || (reservation.withoutPreemption && !free)) job.reservations.delete(index);
-      else {
-        takeResources(free, job.spec);
-        if (reservation.withoutPreemption) cycle.reservedMachines += 1;
+    for (const [index, reservation] of [...job.reservations]) {
+      const outcome = endOfReservation(cycle, job, index, reservation);
+      if (outcome) {
+        endReservation(cycle, job, index, outcome);
+        continue;
       }
+      const machine = shard.machines.get(reservation.machine);
+      takeResources(machine && cycle.freeResourcesOn(machine), job.spec);
+      if (reservation.withoutPreemption) cycle.reservedMachines += 1;
     }
   }
 }
+
+/** Why the reservation holds no longer; null: it holds. */
+function endOfReservation(
+  cycle: SchedulingCycle,
+  job: ShardJob,
+  index: number,
+  { machine: machineId, reservedUntil, withoutPreemption }: Reservation,
+): ReservationOutcome | null {
+  const machine = cycle.shard.machines.get(machineId);
+  if (!machine) return 'machine gone';
+  if (!job.waiting.has(index)) return 'task no longer waits';
+  if (cycle.context.now >= reservedUntil) return 'expired';
+  return withoutPreemption && !cycle.freeResourcesOn(machine) ? 'machine not schedulable' : null;
+}
--- a/src/scheduling/preemption.ts
+++ b/src/scheduling/preemption.ts
@@ -7,6 +7,7 @@
 import type { Allocation, Machine, Shard, ShardJob } from '../shards/model.js';
 import { millis, plus, type ZoneId } from '../model/units.js';
 import { isCrowded } from './candidates.js';
+import type { StopCause } from './cycle.js';
 import { mayRunOn } from '../model/constraints.js';
 import { deadlineAt } from './deadlines.js';
 import {
@@ -51,8 +52,14 @@
   if (!mayPreempt(cycle, job, scope)) return false;
   const preemption = searchPreemption(cycle, job, zone, scope);
   if (!preemption) return false;
-  stopPreempted(cycle, preemption);
-  reserveAfterPreemption(cycle, job, index, preemption.machine);
+  const { machine } = preemption;
+  stopPreempted(cycle, preemption, {
+    reason: 'capacity',
+    preemptor: job.id,
+    preemptorIndex: index,
+    reservedMachine: machine.id,
+  });
+  reserveAfterPreemption(cycle, job, index, machine);
   return true;
 }
 
@@ -182,7 +189,7 @@
 }
 
 /** Stops the tasks, and all other members of the gangs among them. */
-function stopPreempted(cycle: SchedulingCycle, { allocations }: Preemption): void {
+function stopPreempted(cycle: SchedulingCycle, { allocations }: Preemption, cause: StopCause): void {
   const { shard } = cycle;
   for (const allocation of expandToGangs(shard, allocations)) {
     if (cycle.stopping.has(allocation)) continue;
@@ -191,7 +198,7 @@
     cycle.addStoppingUsage(spec);
     const freedMachine = shard.machines.get(allocation.machine);
     if (freedMachine) returnResources(cycle.freeAfterStopsOn(freedMachine), spec);
-    cycle.plan.stops.push({ allocation, graceS: gracePeriodS(allocation) });
+    cycle.plan.stops.push({ allocation, graceS: gracePeriodS(allocation), cause });
   }
 }
 
--- a/src/scheduling/quota-preemption.ts
+++ b/src/scheduling/quota-preemption.ts
@@ -24,7 +24,8 @@
     if (isEnoughStopped()) return;
     cycle.stopping.add(allocation);
     cycle.addStoppingUsage(allocation.spec as JobSpec);
-    cycle.plan.stops.push({ allocation, graceS: gracePeriodS(allocation) });
+    const cause = { reason: 'quota', preemptor: job.id } as const;
+    cycle.plan.stops.push({ allocation, graceS: gracePeriodS(allocation), cause });
   }
 }
 
--- a/src/scheduling/reservations.ts
+++ b/src/scheduling/reservations.ts
@@ -8,6 +8,7 @@
 import { add, dominantShare, fits, freeAsCpus, scale, type Resources } from '../model/resources.js';
 import { requiredZone, type Machine, type ShardJob } from '../shards/model.js';
 import type { MachineId, ZoneId } from '../model/units.js';
+import { endReservation } from './reservation-ends.js';
 import { returnResources, takeResources, type SchedulingCycle } from './scheduling-cycle.js';
 
 /** A job that has waited this long without any start may have machines or quota reserved. */
@@ -82,10 +83,10 @@
 /** At the end of its turn a gang gives up the machines that were reserved for it without preemption. */
 export function expireGangReservations(cycle: SchedulingCycle, job: ShardJob): void {
   if (hasReservationTurn(cycle, job)) return;
-  for (const [index, { machine, withoutPreemption }] of job.reservations) {
+  for (const [index, { machine, withoutPreemption }] of [...job.reservations]) {
     if (!withoutPreemption) continue;
     returnResources(cycle.freeResources.get(machine), job.spec);
-    job.reservations.delete(index);
+    endReservation(cycle, job, index, 'turn over');
   }
 }
 
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -26,7 +26,8 @@
 } from './cycle.js';
 import type { RuntimeEstimator } from './runtime-estimator.js';
 import { createSchedulingContext } from './scheduling-context.js';
-import { TaskAllocator } from './task-allocator.js';
+import { SchedulingLog } from './scheduling-log.js';
+import { RELOCATED, TaskAllocator } from './task-allocator.js';
 
 /** An urgent cycle waits this long, so that events of the same moment share it. */
 const URGENT_CYCLE_DELAY_MS = 15;
@@ -54,6 +55,7 @@
   private readonly guarantees: GuaranteedJobs;
   private readonly taskAllocator: TaskAllocator;
   private lastRelocationAt: SteadyMs | null = null;
+  private readonly schedulingLog: SchedulingLog;
   readonly taskTransfers: TaskTransferService;
   readonly machineTransfers: MachineTransferService;
 
@@ -68,6 +70,7 @@
     this.machineTransfers = new MachineTransferService(core);
     this.guarantees = new GuaranteedJobs(core.settings.teams);
     this.taskAllocator = new TaskAllocator(core, runtimeEstimator);
+    this.schedulingLog = new SchedulingLog(core.log);
   }
 
   /** Something that matters for scheduling has changed: a cycle runs when the next one is due. */
@@ -106,6 +109,11 @@
     this.lastCycleDurationMs = this.core.clock.now() - startedAt;
   }
 
+  /** Counted since the process began, for the statistics in the log. */
+  eventCounts(): Readonly<Record<string, number>> {
+    return this.schedulingLog.events.snapshot();
+  }
+
   /** The record of an active job is new or has changed; null: the job has ended. */
   onJobRecord(id: JobId, record: JobRecord | null): void {
     this.guarantees.update(id, record);
@@ -149,11 +157,13 @@
       machine: target.id,
       reservedUntil: plus(now, RESERVATION_TTL),
       withoutPreemption: false,
+      lastObstacle: 'not looked at',
     });
-    this.taskAllocator.stop(shard, allocation, 0, 'relocated');
+    this.taskAllocator.stop(shard, allocation, 0, RELOCATED);
   }
 
   private applyPlan(shard: Shard, plan: SchedulingPlan, now: SteadyMs): void {
+    this.schedulingLog.record(shard, plan, now);
     this.taskAllocator.startAll(shard, plan.starts, now);
     this.taskAllocator.stopAll(shard, plan.stops);
     for (const reservation of plan.reservations) applyReservation(reservation, now);
@@ -192,6 +202,7 @@
     machine,
     reservedUntil: plus(now, withoutPreemption ? LONG_RESERVATION_TTL : RESERVATION_TTL),
     withoutPreemption,
+    lastObstacle: 'not looked at',
   });
 }
 
--- a/src/scheduling/task-allocator.ts
+++ b/src/scheduling/task-allocator.ts
@@ -13,7 +13,7 @@
   type ShardJob,
 } from '../shards/model.js';
 import { taskId, type Attempt, type JobId, type SteadyMs, type TaskIndex } from '../model/units.js';
-import type { TaskStart, TaskStop } from './cycle.js';
+import type { StopCause, TaskStart, TaskStop } from './cycle.js';
 import { shardKey } from '../shards/codec.js';
 import { violatedByStart } from './start-invariants.js';
 import { gracePeriodS } from './preemption-cost.js';
@@ -22,8 +22,13 @@
 /** A task may be expected to end this long after the announced interruption and is still left to finish. */
 const INTERRUPTION_TOLERANCE_MS = 2000;
 
-/** Why a task is stopped, for the log; `planned`: preempted, or to end its gang's attempt. */
-type StopReason = 'planned' | 'relocated' | 'job ended' | 'interruption notice';
+/** Why a task is stopped, for the log; a plan gives its own cause. */
+type StopReason = StopCause | { readonly reason: 'relocated' | 'job ended' | 'interruption notice' };
+
+/** A replica moves to another machine. */
+export const RELOCATED: StopReason = { reason: 'relocated' };
+const JOB_ENDED: StopReason = { reason: 'job ended' };
+const INTERRUPTION_NOTICE: StopReason = { reason: 'interruption notice' };
 
 /** An allocation whose launch is still to be sent. */
 function newAllocation(
@@ -122,7 +127,7 @@
 
   /** Stops the tasks that a plan names. */
   stopAll(shard: Shard, stops: readonly TaskStop[]): void {
-    for (const { allocation, graceS } of stops) this.stop(shard, allocation, graceS, 'planned');
+    for (const { allocation, graceS, cause } of stops) this.stop(shard, allocation, graceS, cause);
   }
 
   /** Stops a task; of a gang all tasks, with the same grace: a gang can only write a checkpoint as a whole. */
@@ -146,7 +151,7 @@
         attempt: allocation.attempt,
         fencingToken: shard.fencingToken,
         grace: graceS,
-        reason,
+        ...reason,
       },
       'stop',
     );
@@ -158,7 +163,7 @@
     for (const shard of this.core.shards.values()) {
       shard.jobs.delete(jobId);
       for (const allocation of [...(shard.allocationsByJob.get(jobId) ?? [])])
-        this.stop(shard, allocation, 0, 'job ended');
+        this.stop(shard, allocation, 0, JOB_ENDED);
     }
   }
 
@@ -177,11 +182,11 @@
     if (allocation.stop || !spec) return;
     // A member of a gang that has not started yet can be replaced on another machine alone.
     if (spec.kind === 'gang' && allocation.runningSince === null)
-      this.stopTask(shard, allocation, 0, 'interruption notice');
+      this.stopTask(shard, allocation, 0, INTERRUPTION_NOTICE);
     else if (spec.kind === 'service' || spec.checkpointIntervalS > 0)
-      this.stop(shard, allocation, gracePeriodS(allocation), 'interruption notice');
+      this.stop(shard, allocation, gracePeriodS(allocation), INTERRUPTION_NOTICE);
     else if (!this.canFinishBeforeInterruption(allocation, machine))
-      this.stop(shard, allocation, 0, 'interruption notice');
+      this.stop(shard, allocation, 0, INTERRUPTION_NOTICE);
   }
 
   private canFinishBeforeInterruption(allocation: Allocation, machine: Machine): boolean {
--- a/src/shards/job.ts
+++ b/src/shards/job.ts
@@ -11,12 +11,17 @@
 import { steady } from '../model/units.js';
 import type { JobId, MachineId, Millis, Revision, SteadyMs, ZoneId } from '../model/units.js';
 
+/** Why the task of a reservation did not start in the last cycle that looked at it. */
+export type ReservationObstacle = 'not looked at' | 'machine not free' | 'quota' | 'gang incomplete';
+
 /** A machine reserved for a task that fits nowhere yet. */
 export interface Reservation {
   readonly machine: MachineId;
   readonly reservedUntil: SteadyMs;
   /** For a job that has waited too long: nothing is stopped for it, the machine empties by itself. */
   readonly withoutPreemption: boolean;
+  /** For the log alone. */
+  lastObstacle: ReservationObstacle;
 }
 
 /** A job of which tasks are assigned to the shard, as its leader knows it. */
--- a/src/shards/model.ts
+++ b/src/shards/model.ts
@@ -8,6 +8,7 @@
   waitingRuns,
   withdrawFromQueue,
   type Reservation,
+  type ReservationObstacle,
   type ShardJob,
 } from './job.js';
 export { freeResources, hasUnknownUsage, newMachine, type Machine } from './machine.js';
--- a/test/controller/periodic-work.test.ts
+++ b/test/controller/periodic-work.test.ts
@@ -24,6 +24,7 @@
       heartbeatRefusals: () => ({}),
     },
     machineTransfers: { expireCordons: record('expire cordons') },
+    scheduler: { eventCounts: () => ({}) },
     quotaTransfers: { shardQuota: () => ZERO },
     peerMessages: { announce: record('announce') },
   };
--- a/test/support/cycle-runner.ts
+++ b/test/support/cycle-runner.ts
@@ -162,6 +162,7 @@
         machine: reservation.machine,
         reservedUntil: (this.now + 6000) as never,
         withoutPreemption: reservation.withoutPreemption,
+        lastObstacle: 'not looked at',
       });
     for (const unplaced of plan.unplaced) unplaced.job.waitingSince ??= this.now as never;
     return decisions.join('; ') || 'nothing';
