A task for which others were stopped does not start beside a later reservation: failing test

Found with the new log lines in test/schedules/two-machines-left.toml: a service stops others for two replicas and reserves the room; in the same cycle a job that has waited for a minute reserves the same machine. Neither starts for 6 s; then the second one does, and is stopped 0.09 s later for the first. The test says 'nothing' where both replicas should start.

--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -13,19 +13,14 @@
 import { GuaranteedJobs } from '../quota/guaranteed-jobs.js';
 import type { QuotaTransferService } from '../quota/transfer-service.js';
 import type { JobId, SteadyMs, TeamId } from '../model/units.js';
-import { millis, plus } from '../model/units.js';
+import { millis } from '../model/units.js';
 import type { WorkerService } from '../workers/service.js';
 import { chooseRelocation } from './consolidation.js';
 import { planCycle } from './plan.js';
-import {
-  unplacedCount,
-  type PlannedReservation,
-  type SchedulingContext,
-  type SchedulingPlan,
-  type UnplacedTasks,
-} from './cycle.js';
+import { unplacedCount, type SchedulingContext, type SchedulingPlan, type UnplacedTasks } from './cycle.js';
 import type { RuntimeEstimator } from './runtime-estimator.js';
 import { createSchedulingContext } from './scheduling-context.js';
+import { newReservation } from './reservation-terms.js';
 import { SchedulingLog } from './scheduling-log.js';
 import { RELOCATED, TaskAllocator } from './task-allocator.js';
 
@@ -37,10 +32,6 @@
 const CYCLE_TIME_DIVISOR = 4;
 /** However long cycles take, the next one starts after this time. */
 const MAX_CYCLE_INTERVAL_MS = 400;
-/** How long a machine stays reserved on which others were stopped for a task. */
-const RESERVATION_TTL = millis(6000);
-/** How long a machine may take to become empty for a task that has waited too long. */
-const LONG_RESERVATION_TTL = millis(120_000);
 /** Replicas are moved one by one, this far apart: few are down at any moment. */
 const RELOCATION_INTERVAL_MS = 400;
 
@@ -153,12 +144,12 @@
     const relocation = chooseRelocation(shard, context);
     if (!relocation) return;
     const { allocation, target } = relocation;
-    shard.jobs.get(allocation.job)?.reservations.set(allocation.index, {
-      machine: target.id,
-      reservedUntil: plus(now, RESERVATION_TTL),
-      withoutPreemption: false,
-      lastObstacle: 'not looked at',
-    });
+    shard.jobs
+      .get(allocation.job)
+      ?.reservations.set(
+        allocation.index,
+        newReservation({ machine: target.id, withoutPreemption: false }, now),
+      );
     this.taskAllocator.stop(shard, allocation, 0, RELOCATED);
   }
 
@@ -166,7 +157,8 @@
     this.schedulingLog.record(shard, plan, now);
     this.taskAllocator.startAll(shard, plan.starts, now);
     this.taskAllocator.stopAll(shard, plan.stops);
-    for (const reservation of plan.reservations) applyReservation(reservation, now);
+    for (const reservation of plan.reservations)
+      reservation.job.reservations.set(reservation.index, newReservation(reservation, now));
     shard.teamsBlockedByCapacity = teamsBlockedBy('capacity', plan.unplaced);
     shard.teamsBlockedByQuota = teamsBlockedBy('quota', plan.unplaced);
     shard.quotaReservations = plan.quotaReservations;
@@ -194,17 +186,5 @@
   }
 }
 
-function applyReservation(
-  { job, index, machine, withoutPreemption }: PlannedReservation,
-  now: SteadyMs,
-): void {
-  job.reservations.set(index, {
-    machine,
-    reservedUntil: plus(now, withoutPreemption ? LONG_RESERVATION_TTL : RESERVATION_TTL),
-    withoutPreemption,
-    lastObstacle: 'not looked at',
-  });
-}
-
 const teamsBlockedBy = (reason: UnplacedTasks['reason'], unplaced: readonly UnplacedTasks[]): Set<TeamId> =>
   new Set(unplaced.filter((entry) => entry.reason === reason).map((entry) => entry.job.spec.team));
--- /dev/null
+++ b/test/scheduling/preemption-followed-by-start.test.ts
@@ -0,0 +1,43 @@
+/**
+ * Others are stopped only for a start that follows.
+ *
+ * What happened (simulate run test/schedules/two-machines-left.toml, seed 11017): on a machine of 8 CPUs a service stopped
+ * others for two replicas. In the same cycle a job that had waited for over a minute reserved the same machine without
+ * preemption. Each of the two reservations was taken off what the other could use, so neither task started until the first
+ * reservation expired after 6 s; then the waiting job started, and was stopped in the next cycle, 0.09 s later, for the
+ * replicas. This went on for as long as the run:
+ *
+ *   102.73 n0 reservation made   req-23400052/1 and /2 on m-000002, withoutPreemption false
+ *   102.73 n0 reservation made   req-93400015/0 on m-000002, withoutPreemption true
+ *   108.83 n0 reservation ended  req-23400052/1 and /2, expired, lastObstacle "machine not free"
+ *   108.83 n0 reservation ended  req-93400015/0, used
+ *   108.83 n0 start              req-93400015/0 on m-000002
+ *   108.92 n0 stop               req-93400015/0, reason capacity, preemptor req-23400052/1
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { CycleRunner } from '../support/cycle-runner.js';
+
+const CRITICAL_SERVICE = { kind: 'service', priority: 0, team: 'blue', cpus: 2, tasks: 2 };
+/** Cycles are two seconds apart; after these a job may have a machine reserved in the next one. */
+const CYCLES_BEFORE_RESERVATION = 30;
+
+/** A full machine of 8 CPUs: a service has one half, a batch task the other, and a job for a half has waited for a minute. */
+function fullMachine(): CycleRunner {
+  const runner = new CycleRunner();
+  runner.stopsTakeEffectAtOnce = false;
+  runner.addRunningTask('req-service', 'm-0', { kind: 'service', priority: 0, team: 'blue', cpus: 4 });
+  runner.addRunningTask('req-batch', 'm-0', { cpus: 4 });
+  runner.addJob('req-large', { cpus: 4 });
+  for (let cycle = 0; cycle < CYCLES_BEFORE_RESERVATION; cycle += 1)
+    assert.equal(runner.runCycle(), 'nothing');
+  return runner;
+}
+
+test('tasks for which others were stopped start once those are gone, also beside a job that has waited too long', () => {
+  const runner = fullMachine();
+  runner.addJob('req-replicas', CRITICAL_SERVICE);
+  assert.equal(runner.runCycle(), 'stop req-batch/0');
+  runner.finishStops();
+  assert.equal(runner.runCycle(), 'start req-replicas/0 on m-0; start req-replicas/1 on m-0');
+});
--- a/test/support/cycle-runner.ts
+++ b/test/support/cycle-runner.ts
@@ -9,10 +9,12 @@
   newMachine,
   Shard,
   release,
+  stopOrRelease,
   type Allocation,
   type Machine,
 } from '../../src/shards/model.js';
 import { planCycle } from '../../src/scheduling/plan.js';
+import { newReservation } from '../../src/scheduling/reservation-terms.js';
 import type { SchedulingContext } from '../../src/scheduling/cycle.js';
 import { GuaranteedJobs } from '../../src/quota/guaranteed-jobs.js';
 import { RangeSet } from '../../src/model/ranges.js';
@@ -36,6 +38,8 @@
   readonly shard: Shard;
   /** What either team uses on other shards. */
   usedElsewhere: Resources = ZERO;
+  /** False: a stopped task stays on its machine until `finishStops`. */
+  stopsTakeEffectAtOnce = true;
   private now = 1_000_000;
   private readonly activeJobs = new Map<string, JobRecord>();
   private readonly types: ReadonlyMap<InstanceTypeId, InstanceType>;
@@ -129,6 +133,21 @@
     return this.now;
   }
 
+  private stop(allocation: Allocation, graceS: number): void {
+    const machine = this.shard.machines.get(allocation.machine);
+    if (!machine) return;
+    if (this.stopsTakeEffectAtOnce) release(this.shard, machine, allocation);
+    else stopOrRelease(this.shard, machine, allocation, graceS);
+  }
+
+  /** What was told to stop is gone from its machines. */
+  finishStops(): void {
+    for (const allocation of [...this.shard.stopping]) {
+      const machine = this.shard.machines.get(allocation.machine);
+      if (machine) release(this.shard, machine, allocation);
+    }
+  }
+
   /** One cycle, all of it carried out at once, two seconds later than the one before. */
   runCycle(): string {
     this.now += 2000;
@@ -152,18 +171,12 @@
       decisions.push(`start ${start.job.id}/${start.index} on ${start.machine.id}`);
       allocate(this.shard, start.machine, this.runningAllocation(start.job.spec, start.index, start.machine));
     }
-    for (const { allocation } of plan.stops) {
+    for (const { allocation, graceS } of plan.stops) {
       decisions.push(`stop ${allocation.id}`);
-      const machine = this.shard.machines.get(allocation.machine);
-      if (machine) release(this.shard, machine, allocation);
+      this.stop(allocation, graceS);
     }
     for (const reservation of plan.reservations)
-      reservation.job.reservations.set(reservation.index, {
-        machine: reservation.machine,
-        reservedUntil: (this.now + 6000) as never,
-        withoutPreemption: reservation.withoutPreemption,
-        lastObstacle: 'not looked at',
-      });
+      reservation.job.reservations.set(reservation.index, newReservation(reservation, this.now as never));
     for (const unplaced of plan.unplaced) unplaced.job.waitingSince ??= this.now as never;
     return decisions.join('; ') || 'nothing';
   }
