A machine on which others were stopped for a task is not taken from it by a later reservation

Cause: reservations without preemption, for jobs that have waited too long, were taken off what is free also for a task that holds the same machine after preemption; the two held each other off until the shorter reservation expired, the other job started, and was stopped again for the first. Now the room that stops have made is for the task they were made for; only the rest counts for the other reservation.

--- a/src/scheduling/gangs.ts
+++ b/src/scheduling/gangs.ts
@@ -10,6 +10,7 @@
 import type { TaskStart } from './cycle.js';
 import { preemptForTask } from './preemption.js';
 import { endReservationByStart, recordObstacle } from './reservation-ends.js';
+import { machineMadeFree } from './reservation-precedence.js';
 import { expireGangReservations, reserveGangMachines, reserveQuota } from './reservations.js';
 import { returnResources, takeResources, type SchedulingCycle } from './scheduling-cycle.js';
 
@@ -103,7 +104,8 @@
     const zone = requiredZone(job, index);
     let candidates = candidatesByZone.get(zone);
     if (!candidates) candidatesByZone.set(zone, (candidates = candidatesFor(cycle, job, zone, mayUse)));
-    const machine = candidates.next(reservedMachine(cycle, job, index));
+    const machine =
+      machineMadeFree(cycle, job, index, mayUse) ?? candidates.next(reservedMachine(cycle, job, index));
     if (!machine) {
       found.unplaced.push(index);
       if (found.unplaced.length > MAX_MEMBERS_WITH_PREEMPTION) break;
--- a/src/scheduling/job-placement.ts
+++ b/src/scheduling/job-placement.ts
@@ -9,6 +9,7 @@
 import { preemptForTask } from './preemption.js';
 import { preemptForQuota } from './quota-preemption.js';
 import { endReservation, endReservationByStart, recordObstacle } from './reservation-ends.js';
+import { machineMadeFree } from './reservation-precedence.js';
 import { reserveMachine, reserveQuota } from './reservations.js';
 import { returnResources, takeResources, type SchedulingCycle } from './scheduling-cycle.js';
 
@@ -93,7 +94,7 @@
     const reservation = job.reservations.get(index);
     const reservedMachine = reservation && this.cycle.shard.machines.get(reservation.machine);
     if (reservedMachine) returnResources(this.cycle.freeResourcesOn(reservedMachine), this.spec);
-    const machine = this.candidatesIn(zone).next(reservedMachine);
+    const machine = machineMadeFree(this.cycle, job, index) ?? this.candidatesIn(zone).next(reservedMachine);
     if (reservation && reservedMachine && this.startsSoonerOnReserved(machine, reservedMachine)) {
       reservation.lastObstacle = 'machine not free';
       takeResources(this.cycle.freeResources.get(reservedMachine.id), this.spec);
--- a/src/scheduling/plan.ts
+++ b/src/scheduling/plan.ts
@@ -51,7 +51,9 @@
       }
       const machine = shard.machines.get(reservation.machine);
       takeResources(machine && cycle.freeResourcesOn(machine), job.spec);
-      if (reservation.withoutPreemption) cycle.reservedMachines += 1;
+      if (!reservation.withoutPreemption) continue;
+      cycle.reservedMachines += 1;
+      cycle.keptMachines.add(reservation.machine, job);
     }
   }
 }
--- /dev/null
+++ b/src/scheduling/reservation-precedence.ts
@@ -0,0 +1,27 @@
+/**
+ * Whom a reservation without preemption holds off: never a task for which others were stopped on the machine.
+ */
+import { add, fits, type Resources } from '../model/resources.js';
+import type { Machine, ShardJob } from '../shards/model.js';
+import type { SchedulingCycle } from './scheduling-cycle.js';
+
+/**
+ * The machine that is reserved for the task, if others were stopped there for it and they are gone: what is kept on it
+ * for jobs that have waited too long is what the stops have left, not what they were made for. The job's own reservation
+ * must have been returned to what is free.
+ */
+export function machineMadeFree(
+  cycle: SchedulingCycle,
+  job: ShardJob,
+  index: number,
+  mayUse: (machine: Machine) => boolean = () => true,
+): Machine | null {
+  const reservation = job.reservations.get(index);
+  if (!reservation || reservation.withoutPreemption) return null;
+  const machine = cycle.shard.machines.get(reservation.machine);
+  const free = machine && mayUse(machine) ? cycle.freeResourcesOn(machine) : null;
+  if (!machine || !free) return null;
+  let available: Resources = free;
+  for (const other of cycle.keptMachines.othersOn(machine.id, job)) available = add(available, other.spec);
+  return fits(job.spec, available) ? machine : null;
+}
--- a/src/scheduling/scheduling-cycle.ts
+++ b/src/scheduling/scheduling-cycle.ts
@@ -21,6 +21,7 @@
   type Shard,
   type ShardJob,
 } from '../shards/model.js';
+import { KeptMachines } from './kept-machines.js';
 import { newPlan, type SchedulingContext, type SchedulingPlan } from './cycle.js';
 import { isSchedulable } from '../shards/machine-health.js';
 
@@ -47,6 +48,7 @@
   preemptionSearches = 0;
   /** Machines that earlier cycles have reserved without preemption. */
   reservedMachines = 0;
+  readonly keptMachines = new KeptMachines();
   private readonly usage: Map<TeamId, Resources>;
   /** Used by tasks whose team is not known. */
   private readonly unattributedUsage: Resources;
