--- a/test/scheduling/preemption-followed-by-start.test.ts
+++ b/test/scheduling/preemption-followed-by-start.test.ts
@@ -41,3 +41,28 @@
   runner.finishStops();
   assert.equal(runner.runCycle(), 'start req-replicas/0 on m-0; start req-replicas/1 on m-0');
 });
+
+/**
+ * What happened, in the same run: a machine was kept for a gang that had waited too long. A replica saw no room there and
+ * had nothing to stop; in the same cycle the gang started, and in the next one it was stopped for the replica:
+ *
+ *   96.54 n0 start  req-83000017/0 to /3 on m-000002 (reserved, withoutPreemption true)
+ *   96.63 n0 stop   req-83000017/0 to /3, reason capacity, preemptor req-23400052/1
+ */
+test('a critical task takes the room that is kept for a job which it could stop there at once', () => {
+  const runner = fullMachine();
+  assert.equal(runner.runCycle(), 'nothing');
+  runner.addJob('req-replicas', CRITICAL_SERVICE);
+  runner.finishTasksRunningFor(0, 'req-batch');
+  const decisions = Array.from({ length: 4 }, () => runner.runCycle()).join('; ');
+  assert.match(decisions, /start req-replicas\/0 on m-0; start req-replicas\/1 on m-0/);
+  assert.doesNotMatch(decisions, /stop/);
+});
+
+test('the room that is kept for a job which cannot be stopped for the other one stays kept', () => {
+  const runner = fullMachine();
+  assert.equal(runner.runCycle(), 'nothing');
+  runner.addJob('req-urgent', { tasks: 2, priority: 2, cpus: 2, team: 'red', deadlineS: 600 });
+  runner.finishTasksRunningFor(0, 'req-batch');
+  assert.equal(runner.runCycle(), 'start req-large/0 on m-0');
+});
--- a/test/support/cycle-runner.ts
+++ b/test/support/cycle-runner.ts
@@ -119,11 +119,12 @@
     if (machine) this.shard.recordImage(machine, image as never, 1);
   }
 
-  /** Tasks that have run this long are done. */
-  finishTasksRunningFor(afterMs: number): void {
+  /** Tasks that have run this long are done; with a job only its own. */
+  finishTasksRunningFor(afterMs: number, job?: string): void {
     for (const allocation of [...this.shard.allocations.values()]) {
       const machine = this.shard.machines.get(allocation.machine);
       if (this.now - allocation.allocatedAt < afterMs || !machine) continue;
+      if (job !== undefined && allocation.job !== job) continue;
       this.shard.jobs.get(allocation.job)?.finished.add(allocation.index);
       release(this.shard, machine, allocation);
     }
