A machine kept for a job is as good as free for whom its task could be stopped

Symptom: a gang starts on machines that were kept for it, and is stopped in the next cycle, 0.09 s later, for a replica. Cause: a reservation without preemption was judged apart from preemption: it held off every other job, also one that stops the holder's task as soon as it runs. Now the same conditions decide both: what is kept for a task that the preemptor could stop there counts as free when others are stopped for it, and costs nothing.

--- a/src/scheduling/preemption-eligibility.ts
+++ b/src/scheduling/preemption-eligibility.ts
@@ -1,6 +1,7 @@
 /** Which tasks may be preempted for which job. Pure. */
 import { Priority, type JobSpec } from '../jobs/spec.js';
-import { RESOURCE_KINDS, TOLERANCE } from '../model/resources.js';
+import { RESOURCE_KINDS, subtract, TOLERANCE } from '../model/resources.js';
+import type { JobId } from '../model/units.js';
 import type { Allocation, ShardJob } from '../shards/model.js';
 import { OVERDUE_AFTER_MS } from './cycle.js';
 import type { SchedulingCycle } from './scheduling-cycle.js';
@@ -24,22 +25,31 @@
   if (allocation.stop || !spec || cycle.stopping.has(allocation) || allocation.job === preemptor.job.id)
     return false;
   return (
-    mayBeStoppedFor(cycle, allocation, spec, preemptor) &&
+    mayBeStoppedFor(cycle, { jobId: allocation.job, spec, isStarted: true }, preemptor) &&
     !isProtectedFromPreemption(cycle, allocation, preemptor.job)
   );
 }
 
+/** A task that is to make room, or that would have to if it started. */
+interface PreemptibleTask {
+  readonly jobId: JobId;
+  readonly spec: JobSpec;
+  /** Whether its team's usage counts it already. */
+  readonly isStarted: boolean;
+}
+
+/** Does the preemptor go before the task, in rank and in guarantee? */
 function mayBeStoppedFor(
   cycle: SchedulingCycle,
-  allocation: Allocation,
-  spec: JobSpec,
+  task: PreemptibleTask,
   { job, guaranteed }: Preemptor,
 ): boolean {
+  const { jobId, spec } = task;
   if (job.spec.priority === Priority.critical) return spec.priority !== Priority.critical;
   if (spec.priority === Priority.critical) return false;
-  if (cycle.context.guaranteed(allocation.job)) return false;
+  if (cycle.context.guaranteed(jobId)) return false;
   if (job.spec.priority < spec.priority) return true;
-  return guaranteed && spec.team !== job.spec.team && exceedsGuarantee(cycle, spec);
+  return guaranteed && spec.team !== job.spec.team && exceedsGuarantee(cycle, task);
 }
 
 /**
@@ -59,16 +69,30 @@
   );
 }
 
+/** Could a task of the waiting job be stopped for the preemptor as soon as it had started? */
+export function wouldBePreemptible(cycle: SchedulingCycle, job: ShardJob, preemptor: Preemptor): boolean {
+  return (
+    mayBeStoppedFor(cycle, { jobId: job.id, spec: job.spec, isStarted: false }, preemptor) &&
+    !wouldBeProtected(cycle, job, preemptor.job)
+  );
+}
+
+function wouldBeProtected(cycle: SchedulingCycle, job: ShardJob, preemptor: ShardJob): boolean {
+  if (preemptor.spec.priority === Priority.critical || !job.record.done.isEmpty) return false;
+  return cycle.context.now - job.acceptedAt > OVERDUE_AFTER_MS;
+}
+
 /**
  * Would the team without this task still use all of a guaranteed quota that the task counts towards? A team without any
  * guaranteed quota has only borrowed what it uses.
  */
-function exceedsGuarantee(cycle: SchedulingCycle, spec: JobSpec): boolean {
+function exceedsGuarantee(cycle: SchedulingCycle, { spec, isStarted }: PreemptibleTask): boolean {
   const guarantee = cycle.context.teams.get(spec.team)?.guaranteed;
   if (!guarantee) return true;
   const counted = RESOURCE_KINDS.filter((kind) => guarantee[kind] > 0 && spec[kind] > 0);
   const usage = cycle.usageAfterStops(spec.team);
+  const usageWithoutTask = isStarted ? subtract(usage, spec) : usage;
   return (
-    counted.length === 0 || counted.some((kind) => usage[kind] - spec[kind] >= guarantee[kind] - TOLERANCE)
+    counted.length === 0 || counted.some((kind) => usageWithoutTask[kind] >= guarantee[kind] - TOLERANCE)
   );
 }
--- a/src/scheduling/preemption.ts
+++ b/src/scheduling/preemption.ts
@@ -18,6 +18,7 @@
 } from './failed-searches.js';
 import { gracePeriodS, preemptionCost } from './preemption-cost.js';
 import { isPreemptible, type Preemptor } from './preemption-eligibility.js';
+import { yieldedTo } from './reservation-precedence.js';
 import { returnResources, takeResources, type SchedulingCycle } from './scheduling-cycle.js';
 
 /** Searches in one cycle. */
@@ -125,7 +126,7 @@
   let best: Preemption | null = null;
   let found = 0;
   for (const machine of machines) {
-    const free = freeBeforePreemption(cycle, machine, job.spec, zone);
+    const free = freeBeforePreemption(cycle, machine, preemptor, zone);
     const preemption = free && findPreemptionOn(cycle, machine, free, preemptor);
     if (!preemption) continue;
     if (!best || preemption.cost < best.cost) best = preemption;
@@ -135,17 +136,20 @@
   return best;
 }
 
-/** What is free on a machine where preemption could make room for the task; null: it cannot. */
+/** What is free, or kept for jobs that yield, on a machine where preemption could make room; null: it cannot. */
 function freeBeforePreemption(
   cycle: SchedulingCycle,
   machine: Machine,
-  spec: JobSpec,
+  preemptor: Preemptor,
   zone: ZoneId | null,
 ): Resources | null {
-  if (isZero(machine.preemptible) || !mayRunOn(spec, machine.type, machine.zone, machine.spot, zone))
-    return null;
-  const free = cycle.freeAfterStops.get(machine.id) ?? cycle.freeResourcesOn(machine);
-  if (!free || !fits(spec, add(free, machine.preemptible))) return null;
+  const { spec } = preemptor.job;
+  const yielded = yieldedTo(cycle, machine, preemptor);
+  const atMost = add(machine.preemptible, yielded);
+  if (isZero(atMost) || !mayRunOn(spec, machine.type, machine.zone, machine.spot, zone)) return null;
+  const unreserved = cycle.freeAfterStops.get(machine.id) ?? cycle.freeResourcesOn(machine);
+  if (!unreserved || !fits(spec, add(unreserved, atMost))) return null;
+  const free = add(unreserved, yielded);
   const { types, now } = cycle.context;
   return isCrowded(machine, free, spec, types.get(machine.type), now) ? null : free;
 }
