Tasks are stopped for quota though the task that needs it cannot start: two failing tests

The first lead of the issue on known failures (stops for quota and the search for a machine are decided apart), shown by decisions of single cycles: a batch task is stopped for a critical one that no machine suits, and for one that needs more than all that may be stopped. Each time the stopped task starts again and is stopped again.

--- a/test/scheduling/preemption-followed-by-start.test.ts
+++ b/test/scheduling/preemption-followed-by-start.test.ts
@@ -16,6 +16,7 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { UNLIMITED } from '../../src/model/resources.js';
 import { CycleRunner } from '../support/cycle-runner.js';
 
 const CRITICAL_SERVICE = { kind: 'service', priority: 0, team: 'blue', cpus: 2, tasks: 2 };
@@ -66,3 +67,19 @@
   runner.finishTasksRunningFor(0, 'req-batch');
   assert.equal(runner.runCycle(), 'start req-large/0 on m-0');
 });
+
+/** Found by reading: stops for quota were decided before a machine was looked for. No task takes part of it otherwise. */
+test('no task of the team is stopped for its quota while there is no machine for the critical task', () => {
+  const runner = new CycleRunner(1, { shardQuota: { ...UNLIMITED, cpus: 4 } });
+  runner.addRunningTask('req-batch', 'm-0', { cpus: 4 });
+  runner.addJob('req-web', { kind: 'service', priority: 0, cpus: 4, types: ['none-such'] });
+  for (let cycle = 0; cycle < 4; cycle += 1) assert.equal(runner.runCycle(), 'nothing');
+});
+
+test('no task of the team is stopped for its quota where all of them would not be enough', () => {
+  const runner = new CycleRunner(1, { shardQuota: { ...UNLIMITED, cpus: 4 } });
+  runner.addRunningTask('req-service', 'm-0', { kind: 'service', priority: 0, cpus: 2 });
+  runner.addRunningTask('req-batch', 'm-0', { cpus: 2 });
+  runner.addJob('req-web', { kind: 'service', priority: 0, cpus: 4 });
+  for (let cycle = 0; cycle < 4; cycle += 1) assert.equal(runner.runCycle(), 'nothing');
+});
--- a/test/support/cycle-runner.ts
+++ b/test/support/cycle-runner.ts
@@ -141,14 +141,23 @@
     else stopOrRelease(this.shard, machine, allocation, graceS);
   }
 
-  /** What was told to stop is gone from its machines. */
-  finishStops(): void {
+  /** What was told to stop is gone from its machines; with a job only its tasks. */
+  finishStops(job?: string): void {
     for (const allocation of [...this.shard.stopping]) {
+      if (job !== undefined && allocation.job !== job) continue;
       const machine = this.shard.machines.get(allocation.machine);
       if (machine) release(this.shard, machine, allocation);
     }
   }
 
+  /** What was told to stop goes on, as tasks do that a late heartbeat had shown elsewhere. */
+  withdrawStops(): void {
+    for (const allocation of [...this.shard.stopping]) {
+      allocation.stop = null;
+      this.shard.stopping.delete(allocation);
+    }
+  }
+
   /** One cycle, all of it carried out at once, two seconds later than the one before. */
   runCycle(): string {
     this.now += 2000;
