Tasks are stopped for quota only where the task that needs it will have a machine

Symptom: a batch task is stopped for a critical task of its team that does not start; it starts again and is stopped again. Cause: stops for quota and the search for a machine were decided apart, and what could be stopped was stopped even when all of it was not enough. Now both are one decision: the stops are chosen for exactly what is missing in the quota, gangs as a whole, a machine is found (free, or made free by these stops or others), and reserved; or nothing is stopped.

--- a/src/scheduling/job-placement.ts
+++ b/src/scheduling/job-placement.ts
@@ -34,6 +34,8 @@
   private readonly blockedByQuota: number[] = [];
   private readonly blockedInZone = new Map<ZoneId | null, number>();
   private readonly candidatesByZone = new Map<ZoneId | null, CandidateMachines>();
+  /** Zones in which no machine was found for a task that lacks quota, or no tasks to stop for it. */
+  private readonly zonesWithoutQuotaPreemption = new Set<ZoneId | null>();
   /** Zones in which a search found no task to preempt. */
   private readonly zonesWithoutPreemption = new Set<ZoneId | null>();
   private readonly hasRequiredZones: boolean;
@@ -161,10 +163,19 @@
       recordObstacle(job, 'quota');
       reserveQuota(cycle, job, 1);
     }
-    if (this.spec.priority === Priority.critical) preemptForQuota(cycle, job, blockedByQuota.length);
+    if (this.spec.priority === Priority.critical) this.preemptWithinTeam(index);
     else this.quotaExhausted = true;
   }
 
+  /** One failure speaks for all tasks of the job in the zone. */
+  private preemptWithinTeam(index: number): void {
+    const { cycle, job } = this;
+    const zone = requiredZone(job, index);
+    if (this.zonesWithoutQuotaPreemption.has(zone)) return;
+    if (!preemptForQuota(cycle, job, index, zone, this.candidatesIn(zone)))
+      this.zonesWithoutQuotaPreemption.add(zone);
+  }
+
   /** Would a task that should start at once wait for its image there, longer than it takes to stop others? */
   private fetchDelaysUrgentTask(machine: Machine): boolean {
     const { spec, job } = this;
--- /dev/null
+++ b/src/scheduling/preemption-stops.ts
@@ -0,0 +1,34 @@
+/** Stops tasks for others, in the plan of a cycle: gangs as a whole, and with what comes free counted as such. */
+import type { JobSpec } from '../jobs/spec.js';
+import type { Allocation, Shard } from '../shards/model.js';
+import type { StopCause } from './cycle.js';
+import { gracePeriodS } from './preemption-cost.js';
+import { returnResources, type SchedulingCycle } from './scheduling-cycle.js';
+
+/** Stops the tasks, and all other members of the gangs among them. */
+export function stopPreempted(
+  cycle: SchedulingCycle,
+  allocations: readonly Allocation[],
+  cause: StopCause,
+): void {
+  const { shard } = cycle;
+  for (const allocation of expandToGangs(shard, allocations)) {
+    if (cycle.stopping.has(allocation)) continue;
+    const spec = allocation.spec as JobSpec;
+    cycle.stopping.add(allocation);
+    cycle.addStoppingUsage(spec);
+    const freedMachine = shard.machines.get(allocation.machine);
+    if (freedMachine) returnResources(cycle.freeAfterStopsOn(freedMachine), spec);
+    cycle.plan.stops.push({ allocation, graceS: gracePeriodS(allocation), cause });
+  }
+}
+
+/** The tasks, and the other members of their gangs: those stop with them. */
+export function expandToGangs(shard: Shard, allocations: readonly Allocation[]): Set<Allocation> {
+  const all = new Set(allocations);
+  for (const allocation of allocations) {
+    if (allocation.spec?.kind !== 'gang') continue;
+    for (const member of shard.allocationsByJob.get(allocation.job) ?? []) if (!member.stop) all.add(member);
+  }
+  return all;
+}
--- a/src/scheduling/preemption.ts
+++ b/src/scheduling/preemption.ts
@@ -4,10 +4,9 @@
  */
 import { Priority, type JobSpec } from '../jobs/spec.js';
 import { add, fits, isZero, type Resources } from '../model/resources.js';
-import type { Allocation, Machine, Shard, ShardJob } from '../shards/model.js';
+import type { Allocation, Machine, ShardJob } from '../shards/model.js';
 import { millis, plus, type ZoneId } from '../model/units.js';
 import { isCrowded } from './candidates.js';
-import type { StopCause } from './cycle.js';
 import { mayRunOn } from '../model/constraints.js';
 import { deadlineAt } from './deadlines.js';
 import {
@@ -16,8 +15,9 @@
   rememberFailedSearch,
   SEARCH_RETRY_DELAY_MS,
 } from './failed-searches.js';
-import { gracePeriodS, preemptionCost } from './preemption-cost.js';
+import { preemptionCost } from './preemption-cost.js';
 import { isPreemptible, type Preemptor } from './preemption-eligibility.js';
+import { stopPreempted } from './preemption-stops.js';
 import { yieldedTo } from './reservation-precedence.js';
 import { returnResources, takeResources, type SchedulingCycle } from './scheduling-cycle.js';
 
@@ -54,7 +54,7 @@
   const preemption = searchPreemption(cycle, job, zone, scope);
   if (!preemption) return false;
   const { machine } = preemption;
-  stopPreempted(cycle, preemption, {
+  stopPreempted(cycle, preemption.allocations, {
     reason: 'capacity',
     preemptor: job.id,
     preemptorIndex: index,
@@ -192,30 +192,8 @@
     .sort((x, y) => x.cost - y.cost);
 }
 
-/** Stops the tasks, and all other members of the gangs among them. */
-function stopPreempted(cycle: SchedulingCycle, { allocations }: Preemption, cause: StopCause): void {
-  const { shard } = cycle;
-  for (const allocation of expandToGangs(shard, allocations)) {
-    if (cycle.stopping.has(allocation)) continue;
-    const spec = allocation.spec as JobSpec;
-    cycle.stopping.add(allocation);
-    cycle.addStoppingUsage(spec);
-    const freedMachine = shard.machines.get(allocation.machine);
-    if (freedMachine) returnResources(cycle.freeAfterStopsOn(freedMachine), spec);
-    cycle.plan.stops.push({ allocation, graceS: gracePeriodS(allocation), cause });
-  }
-}
-
-function expandToGangs(shard: Shard, allocations: readonly Allocation[]): Set<Allocation> {
-  const all = new Set(allocations);
-  for (const allocation of allocations) {
-    if (allocation.spec?.kind !== 'gang') continue;
-    for (const member of shard.allocationsByJob.get(allocation.job) ?? []) if (!member.stop) all.add(member);
-  }
-  return all;
-}
-
-function reserveAfterPreemption(
+/** Reserves what is free on the machine, or is becoming free, for the task; its quota counts as used. */
+export function reserveAfterPreemption(
   cycle: SchedulingCycle,
   job: ShardJob,
   index: number,
--- a/src/scheduling/quota-preemption.ts
+++ b/src/scheduling/quota-preemption.ts
@@ -1,52 +1,91 @@
 /**
  * Preempts within a team: critical tasks of a team whose quota is used up get what its own less urgent tasks use of the
- * resources that are short. Pure: decisions go into the plan of the cycle.
+ * resources that are short, if there is a machine for them as well. Pure: decisions go into the plan of the cycle.
  */
 import type { JobSpec } from '../jobs/spec.js';
-import { RESOURCE_KINDS, TOLERANCE, type ResourceKind } from '../model/resources.js';
+import { addTo, RESOURCE_KINDS, subtract, TOLERANCE, ZERO, type ResourceKind } from '../model/resources.js';
+import type { ZoneId } from '../model/units.js';
 import type { Allocation, ShardJob } from '../shards/model.js';
-import { gracePeriodS, lostWork } from './preemption-cost.js';
+import type { CandidateMachines } from './candidates.js';
+import { lostWork } from './preemption-cost.js';
+import { preemptForTask, reserveAfterPreemption } from './preemption.js';
+import { expandToGangs, stopPreempted } from './preemption-stops.js';
 import type { SchedulingCycle } from './scheduling-cycle.js';
 
-/** Stops tasks of the job's team until `count` tasks of the job are within the quota, those that lose least first. */
-export function preemptForQuota(cycle: SchedulingCycle, job: ShardJob, count: number): void {
+/**
+ * Makes room in the team's quota for a critical task, but only where a machine has room for it or others may be stopped
+ * there, so that its start follows: a stopped task would else take the quota back, to be stopped again. Both together are
+ * one decision, and the machine is reserved. false: nothing is stopped.
+ */
+export function preemptForQuota(
+  cycle: SchedulingCycle,
+  job: ShardJob,
+  index: number,
+  zone: ZoneId | null,
+  candidates: CandidateMachines,
+): boolean {
+  const allocations = chooseStopsForQuota(cycle, job);
+  if (!allocations) return false;
+  const cause = { reason: 'quota', preemptor: job.id } as const;
+  if (job.reservations.get(index)?.withoutPreemption === false) {
+    stopPreempted(cycle, allocations, cause);
+    return true;
+  }
+  const machine = candidates.next();
+  if (machine) {
+    stopPreempted(cycle, allocations, cause);
+    reserveAfterPreemption(cycle, job, index, machine);
+    return true;
+  }
+  const undo = cycle.savepoint();
+  stopPreempted(cycle, allocations, cause);
+  if (preemptForTask(cycle, job, index, zone)) return true;
+  undo();
+  return false;
+}
+
+/**
+ * Tasks of the job's team without which one more task of the job is within the quota, those that lose least first; none
+ * where enough are being stopped already. null: all that may be stopped are not enough, so that none is to be stopped.
+ */
+function chooseStopsForQuota(cycle: SchedulingCycle, job: ShardJob): Allocation[] | null {
   const { spec } = job;
-  const exceededKinds = kindsOverQuota(cycle, spec);
-  const isEnoughStopped = (): boolean => {
-    const stopped = cycle.stoppingUsage(spec.team);
-    return exceededKinds.every((kind) => stopped[kind] >= count * spec[kind]);
+  const freed = { ...ZERO };
+  const exceededKinds = (): ResourceKind[] => {
+    const usage = subtract(subtract(cycle.usageWithTask(spec), cycle.stoppingUsage(spec.team)), freed);
+    const shardQuota = cycle.context.shardQuota(spec.team);
+    return RESOURCE_KINDS.filter((kind) => spec[kind] > 0 && usage[kind] > shardQuota[kind] + TOLERANCE);
   };
-  if (isEnoughStopped()) return;
-  const byLostWork = preemptibleForQuota(cycle, spec, exceededKinds)
-    .map((allocation) => ({ allocation, lostCpuMs: lostWork(allocation, cycle.context) }))
-    .sort((x, y) => x.lostCpuMs - y.lostCpuMs);
-  for (const { allocation } of byLostWork) {
-    if (isEnoughStopped()) return;
-    cycle.stopping.add(allocation);
-    cycle.addStoppingUsage(allocation.spec as JobSpec);
-    const cause = { reason: 'quota', preemptor: job.id } as const;
-    cycle.plan.stops.push({ allocation, graceS: gracePeriodS(allocation), cause });
+  let exceeded = exceededKinds();
+  if (exceeded.length === 0) return [];
+  const chosen = new Set<Allocation>();
+  for (const allocation of cheapestFirst(cycle, preemptibleForQuota(cycle, spec))) {
+    if (chosen.has(allocation) || !exceeded.some((kind) => allocation.spec && allocation.spec[kind] > 0))
+      continue;
+    for (const member of expandToGangs(cycle.shard, [allocation])) {
+      chosen.add(member);
+      addTo(freed, member.spec as JobSpec);
+    }
+    exceeded = exceededKinds();
+    if (exceeded.length === 0) return [...chosen];
   }
+  return null;
 }
 
-/** The resources of which one more task would take the team over its quota on this shard. */
-function kindsOverQuota(cycle: SchedulingCycle, spec: JobSpec): ResourceKind[] {
-  const shardQuota = cycle.context.shardQuota(spec.team);
-  const usage = cycle.usageWithTask(spec);
-  return RESOURCE_KINDS.filter((kind) => spec[kind] > 0 && usage[kind] > shardQuota[kind] + TOLERANCE);
+function cheapestFirst({ context }: SchedulingCycle, allocations: readonly Allocation[]): Allocation[] {
+  const membersOf = ({ spec }: Allocation): number => (spec?.kind === 'gang' ? spec.tasks : 1);
+  return allocations
+    .map((allocation) => ({ allocation, cost: membersOf(allocation) * lostWork(allocation, context) }))
+    .sort((first, second) => first.cost - second.cost)
+    .map(({ allocation }) => allocation);
 }
 
-/** Tasks of the team with a lower priority that use any of these resources. */
-function preemptibleForQuota(
-  { shard, stopping }: SchedulingCycle,
-  spec: JobSpec,
-  exceededKinds: readonly ResourceKind[],
-): Allocation[] {
+/** Tasks of the team with a lower priority. */
+function preemptibleForQuota({ shard, stopping }: SchedulingCycle, spec: JobSpec): Allocation[] {
   const preemptible: Allocation[] = [];
   for (const [id, allocations] of shard.allocationsByJob) {
     const otherSpec = shard.jobs.get(id)?.spec;
     if (otherSpec?.team !== spec.team || otherSpec.priority <= spec.priority) continue;
-    if (!exceededKinds.some((kind) => otherSpec[kind] > 0)) continue;
     for (const allocation of allocations)
       if (allocation.spec && !allocation.stop && !stopping.has(allocation)) preemptible.push(allocation);
   }
