--- a/test/scheduling/preemption-followed-by-start.test.ts
+++ b/test/scheduling/preemption-followed-by-start.test.ts
@@ -83,3 +83,33 @@
   runner.addJob('req-web', { kind: 'service', priority: 0, cpus: 4 });
   for (let cycle = 0; cycle < 4; cycle += 1) assert.equal(runner.runCycle(), 'nothing');
 });
+
+test('quota of which a part is free again is not taken by a job that would be stopped for the rest', () => {
+  const runner = new CycleRunner(1, { shardQuota: { ...UNLIMITED, cpus: 4 } });
+  runner.stopsTakeEffectAtOnce = false;
+  runner.addRunningTask('req-a', 'm-0', {});
+  runner.addRunningTask('req-b', 'm-0', {});
+  runner.addJob('req-more', {});
+  runner.addJob('req-web', { kind: 'service', priority: 0, cpus: 4 });
+  assert.equal(runner.runCycle(), 'stop req-a/0; stop req-b/0');
+  runner.finishStops('req-a');
+  assert.equal(runner.runCycle(), 'nothing');
+  runner.finishStops('req-b');
+  assert.equal(runner.runCycle(), 'start req-web/0 on m-0');
+});
+
+test('a job of the team does not take the quota of a task for which others are being stopped', () => {
+  const runner = new CycleRunner(2, { shardQuota: { ...UNLIMITED, cpus: 8 } });
+  runner.stopsTakeEffectAtOnce = false;
+  const service = { kind: 'service', priority: 0, cpus: 4 };
+  runner.addRunningTask('req-blue-service', 'm-0', { ...service, team: 'blue' });
+  runner.addRunningTask('req-blue-batch', 'm-0', { cpus: 4, team: 'blue' });
+  runner.addRunningTask('req-red-service', 'm-1', { ...service, cpus: 4 });
+  runner.addRunningTask('req-other', 'm-1', { cpus: 2, team: 'blue', priority: 0, kind: 'service' });
+  runner.addJob('req-web', service);
+  assert.equal(runner.runCycle(), 'stop req-blue-batch/0');
+  runner.addJob('req-more', {});
+  assert.equal(runner.runCycle(), 'nothing');
+  runner.finishStops();
+  assert.equal(runner.runCycle(), 'start req-web/0 on m-0');
+});
