A task keeps the quota that stops are making free for it, until it starts

Symptom: others of the team start with quota that comes free piece by piece, and are stopped for the rest of it; or they use the quota of a task for which a machine is being emptied. Cause: the quota was counted only in the cycle that decided the stops; later cycles kept the machine for the task and not its quota. Now a reservation made by stops counts both, for single tasks, for critical ones that lack quota, and for gangs.

--- a/src/scheduling/gangs.ts
+++ b/src/scheduling/gangs.ts
@@ -176,7 +176,9 @@
   }
   for (const index of found.unplaced) {
     const machine = reservedMachine(cycle, job, index);
-    if (machine) takeResources(cycle.freeResources.get(machine.id), job.spec);
+    if (!machine) continue;
+    takeResources(cycle.freeResources.get(machine.id), job.spec);
+    cycle.addTaskUsage(job.spec);
   }
 }
 
--- a/src/scheduling/job-placement.ts
+++ b/src/scheduling/job-placement.ts
@@ -100,6 +100,8 @@
     if (reservation && reservedMachine && this.startsSoonerOnReserved(machine, reservedMachine)) {
       reservation.lastObstacle = 'machine not free';
       takeResources(this.cycle.freeResources.get(reservedMachine.id), this.spec);
+      // The quota that the task will need is not for others of its team either.
+      if (!reservation.withoutPreemption) this.cycle.addTaskUsage(this.spec);
     } else if (machine) this.startOrPreempt(index, zone, machine, reservedMachine);
     else this.preemptOrReserve(index, zone);
   }
--- a/src/scheduling/quota-preemption.ts
+++ b/src/scheduling/quota-preemption.ts
@@ -29,6 +29,7 @@
   const cause = { reason: 'quota', preemptor: job.id } as const;
   if (job.reservations.get(index)?.withoutPreemption === false) {
     stopPreempted(cycle, allocations, cause);
+    cycle.addTaskUsage(job.spec);
     return true;
   }
   const machine = candidates.next();
