--- a/test/scheduling/preemption-followed-by-start.test.ts
+++ b/test/scheduling/preemption-followed-by-start.test.ts
@@ -113,3 +113,29 @@
   runner.finishStops();
   assert.equal(runner.runCycle(), 'start req-web/0 on m-0');
 });
+
+test('a stop after which no start followed is not tried again at once', () => {
+  const runner = new CycleRunner();
+  runner.stopsTakeEffectAtOnce = false;
+  runner.addRunningTask('req-batch', 'm-0', { cpus: 8 });
+  runner.addJob('req-web', { kind: 'service', priority: 0, cpus: 4 });
+  assert.equal(runner.runCycle(), 'stop req-batch/0');
+  // The worker does not say for long that the task has ended; meanwhile it is taken for lost, and started anew.
+  for (let cycle = 0; cycle < 4; cycle += 1) assert.equal(runner.runCycle(), 'nothing');
+  runner.withdrawStops();
+  for (let cycle = 0; cycle < 10; cycle += 1) assert.equal(runner.runCycle(), 'nothing');
+});
+
+test('a machine stays reserved until the tasks stopped there have had their time to save', () => {
+  const runner = new CycleRunner();
+  runner.stopsTakeEffectAtOnce = false;
+  runner.addRunningTask('req-batch', 'm-0', { cpus: 8, checkpointIntervalS: 10, checkpointDurationS: 9 });
+  runner.addJob('req-web', { kind: 'service', priority: 0, cpus: 8 });
+  assert.equal(runner.runCycle(), 'stop req-batch/0');
+  runner.addJob('req-more', { cpus: 8, team: 'blue' });
+  for (let cycle = 0; cycle < 4; cycle += 1) assert.equal(runner.runCycle(), 'nothing');
+  const reserved = runner.shard.jobs.get('req-web' as never)?.reservations.get(0);
+  assert.equal(reserved?.machine, 'm-0');
+  runner.finishStops();
+  assert.equal(runner.runCycle(), 'start req-web/0 on m-0');
+});
