Stops that were of no use are not repeated at once, and a reservation outlasts the time to save

Symptom: a task is stopped again and again for one that does not start. Causes: a reservation that ended unused left no trace, so that the next cycle made the same decision; and it ended 6 s after the decision, also where the stopped tasks had 9 s or more to save.

--- a/src/scheduling/cycle.ts
+++ b/src/scheduling/cycle.ts
@@ -88,6 +88,8 @@
   readonly machine: MachineId;
   /** The machine becomes free as its tasks end; otherwise tasks were stopped there for this one. */
   readonly withoutPreemption: boolean;
+  /** The longest time to save, in seconds, of the tasks that are stopped for it. */
+  readonly graceS: number;
 }
 
 /** How the reservation of a machine ended. */
--- a/src/scheduling/gangs.ts
+++ b/src/scheduling/gangs.ts
@@ -9,6 +9,7 @@
 import { candidatesFor, type CandidateMachines } from './candidates.js';
 import type { TaskStart } from './cycle.js';
 import { preemptForTask } from './preemption.js';
+import { longestGraceS } from './preemption-stops.js';
 import { endReservationByStart, recordObstacle } from './reservation-ends.js';
 import { machineMadeFree } from './reservation-precedence.js';
 import { expireGangReservations, reserveGangMachines, reserveQuota } from './reservations.js';
@@ -154,25 +155,32 @@
   if (found.unplaced.length > MAX_MEMBERS_WITH_PREEMPTION) return false;
   // The tasks that an earlier cycle has stopped for it have not ended yet.
   if (found.unplaced.every((index) => job.reservations.get(index)?.withoutPreemption === false)) {
-    reserveFoundMachines(cycle, job, found);
+    reserveFoundMachines(cycle, job, found, 0);
     return true;
   }
   const undo = cycle.savepoint();
+  const stopsBefore = cycle.plan.stops.length;
   for (const index of found.unplaced) {
     if (job.reservations.has(index)) continue;
     if (preemptForTask(cycle, job, index, requiredZone(job, index))) continue;
     undo();
     return false;
   }
-  reserveFoundMachines(cycle, job, found);
+  const stopped = cycle.plan.stops.slice(stopsBefore).map((stop) => stop.allocation);
+  reserveFoundMachines(cycle, job, found, longestGraceS(stopped));
   return true;
 }
 
 /** No member starts in this cycle; machines found, or being made free, are reserved for the gang. */
-function reserveFoundMachines(cycle: SchedulingCycle, job: ShardJob, found: GangSearch): void {
+function reserveFoundMachines(
+  cycle: SchedulingCycle,
+  job: ShardJob,
+  found: GangSearch,
+  graceS: number,
+): void {
   for (const { index, machine } of found.starts) {
     if (job.reservations.get(index)?.machine === machine.id) continue;
-    cycle.plan.reservations.push({ job, index, machine: machine.id, withoutPreemption: false });
+    cycle.plan.reservations.push({ job, index, machine: machine.id, withoutPreemption: false, graceS });
   }
   for (const index of found.unplaced) {
     const machine = reservedMachine(cycle, job, index);
--- a/src/scheduling/job-placement.ts
+++ b/src/scheduling/job-placement.ts
@@ -131,7 +131,7 @@
     const preempted =
       machine !== reservedMachine &&
       this.fetchDelaysUrgentTask(machine) &&
-      preemptForTask(cycle, job, index, zone, 'machines with the image');
+      preemptForTask(cycle, job, index, zone, { scope: 'machines with the image' });
     if (preempted) {
       endReservation(cycle, job, index, 'replaced');
       this.blockByCapacity(index, zone);
--- a/src/scheduling/plan.ts
+++ b/src/scheduling/plan.ts
@@ -9,6 +9,7 @@
 import { orderJobs } from './job-order.js';
 import { scheduleJob } from './job-placement.js';
 import { endReservation, endReservations } from './reservation-ends.js';
+import { rememberUnusedPreemption } from './reservation-terms.js';
 import { SchedulingCycle, takeResources } from './scheduling-cycle.js';
 
 /** Which waiting tasks start where, which tasks stop for them, and which stay unplaced. */
@@ -47,6 +48,8 @@
       const outcome = endOfReservation(cycle, job, index, reservation);
       if (outcome) {
         endReservation(cycle, job, index, outcome);
+        if (outcome === 'expired' && !reservation.withoutPreemption)
+          rememberUnusedPreemption(job, reservation.machine, cycle.context.now);
         continue;
       }
       const machine = shard.machines.get(reservation.machine);
--- a/src/scheduling/preemption-stops.ts
+++ b/src/scheduling/preemption-stops.ts
@@ -23,6 +23,10 @@
   }
 }
 
+/** The longest time to save that any of the tasks has, in seconds. */
+export const longestGraceS = (allocations: readonly Allocation[]): number =>
+  Math.max(0, ...allocations.map(gracePeriodS));
+
 /** The tasks, and the other members of their gangs: those stop with them. */
 export function expandToGangs(shard: Shard, allocations: readonly Allocation[]): Set<Allocation> {
   const all = new Set(allocations);
--- a/src/scheduling/preemption.ts
+++ b/src/scheduling/preemption.ts
@@ -17,7 +17,8 @@
 } from './failed-searches.js';
 import { preemptionCost } from './preemption-cost.js';
 import { isPreemptible, type Preemptor } from './preemption-eligibility.js';
-import { stopPreempted } from './preemption-stops.js';
+import { longestGraceS, stopPreempted } from './preemption-stops.js';
+import { hasUnusedPreemption } from './reservation-terms.js';
 import { yieldedTo } from './reservation-precedence.js';
 import { returnResources, takeResources, type SchedulingCycle } from './scheduling-cycle.js';
 
@@ -42,13 +43,20 @@
   readonly cost: number;
 }
 
+/** What a preemption must observe beside the job's own requirements. */
+export interface PreemptionOptions {
+  readonly scope?: PreemptionScope;
+  /** The longest time to save, in seconds, of tasks that are stopped for the same start already. */
+  readonly graceS?: number;
+}
+
 /** Stops others for a task and reserves the machine for it; false: none may be stopped, or not yet. */
 export function preemptForTask(
   cycle: SchedulingCycle,
   job: ShardJob,
   index: number,
   zone: ZoneId | null,
-  scope: PreemptionScope = 'any machine',
+  { scope = 'any machine', graceS = 0 }: PreemptionOptions = {},
 ): boolean {
   if (!mayPreempt(cycle, job, scope)) return false;
   const preemption = searchPreemption(cycle, job, zone, scope);
@@ -60,7 +68,7 @@
     preemptorIndex: index,
     reservedMachine: machine.id,
   });
-  reserveAfterPreemption(cycle, job, index, machine);
+  reserveAfterPreemption(cycle, job, index, machine, Math.max(graceS, longestGraceS(preemption.allocations)));
   return true;
 }
 
@@ -126,6 +134,7 @@
   let best: Preemption | null = null;
   let found = 0;
   for (const machine of machines) {
+    if (hasUnusedPreemption(job, machine.id, cycle.context.now)) continue;
     const free = freeBeforePreemption(cycle, machine, preemptor, zone);
     const preemption = free && findPreemptionOn(cycle, machine, free, preemptor);
     if (!preemption) continue;
@@ -198,9 +207,10 @@
   job: ShardJob,
   index: number,
   machine: Machine,
+  graceS: number,
 ): void {
   takeResources(cycle.freeAfterStopsOn(machine), job.spec);
   takeResources(cycle.freeResources.get(machine.id), job.spec);
   cycle.addTaskUsage(job.spec);
-  cycle.plan.reservations.push({ job, index, machine: machine.id, withoutPreemption: false });
+  cycle.plan.reservations.push({ job, index, machine: machine.id, withoutPreemption: false, graceS });
 }
--- a/src/scheduling/quota-preemption.ts
+++ b/src/scheduling/quota-preemption.ts
@@ -9,7 +9,8 @@
 import type { CandidateMachines } from './candidates.js';
 import { lostWork } from './preemption-cost.js';
 import { preemptForTask, reserveAfterPreemption } from './preemption.js';
-import { expandToGangs, stopPreempted } from './preemption-stops.js';
+import { expandToGangs, longestGraceS, stopPreempted } from './preemption-stops.js';
+import { hasUnusedPreemption } from './reservation-terms.js';
 import type { SchedulingCycle } from './scheduling-cycle.js';
 
 /**
@@ -32,15 +33,17 @@
     cycle.addTaskUsage(job.spec);
     return true;
   }
+  const graceS = longestGraceS(allocations);
   const machine = candidates.next();
   if (machine) {
+    if (allocations.length > 0 && hasUnusedPreemption(job, machine.id, cycle.context.now)) return false;
     stopPreempted(cycle, allocations, cause);
-    reserveAfterPreemption(cycle, job, index, machine);
+    reserveAfterPreemption(cycle, job, index, machine, graceS);
     return true;
   }
   const undo = cycle.savepoint();
   stopPreempted(cycle, allocations, cause);
-  if (preemptForTask(cycle, job, index, zone)) return true;
+  if (preemptForTask(cycle, job, index, zone, { graceS })) return true;
   undo();
   return false;
 }
--- a/src/scheduling/reservations.ts
+++ b/src/scheduling/reservations.ts
@@ -48,7 +48,7 @@
   });
   if (!machine) return false;
   takeResources(cycle.freeResourcesOn(machine), spec);
-  cycle.plan.reservations.push({ job, index, machine: machine.id, withoutPreemption: true });
+  cycle.plan.reservations.push({ job, index, machine: machine.id, withoutPreemption: true, graceS: 0 });
   return true;
 }
 
@@ -111,7 +111,7 @@
   const reserved = reserveForMembers(cycle, job, mayUse);
   if (reserved.length === job.waiting.size) {
     for (const { index, machine } of reserved)
-      plan.reservations.push({ job, index, machine, withoutPreemption: true });
+      plan.reservations.push({ job, index, machine, withoutPreemption: true, graceS: 0 });
     return;
   }
   for (const { machine } of reserved) returnResources(cycle.freeResources.get(machine), job.spec);
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -148,7 +148,7 @@
       .get(allocation.job)
       ?.reservations.set(
         allocation.index,
-        newReservation({ machine: target.id, withoutPreemption: false }, now),
+        newReservation({ machine: target.id, withoutPreemption: false, graceS: 0 }, now),
       );
     this.taskAllocator.stop(shard, allocation, 0, RELOCATED);
   }
--- a/src/shards/job.ts
+++ b/src/shards/job.ts
@@ -46,6 +46,8 @@
   readonly handingOver: RangeSet;
   /** Machines reserved for its tasks, by index of the task. */
   readonly reservations: Map<number, Reservation>;
+  /** Machines on which others were stopped for a task of it that then did not start there, and when that was seen. */
+  readonly unusedPreemptions: Map<MachineId, SteadyMs>;
   /** When it was accepted, by the clock of this process; that may be before the process began. */
   readonly acceptedAt: SteadyMs;
   /** Since when tasks of it have been waiting for capacity; null: none is. */
@@ -94,6 +96,7 @@
     finished: RangeSet.empty(),
     handingOver: RangeSet.empty(),
     reservations: new Map(),
+    unusedPreemptions: new Map(),
     acceptedAt: steady(addedAt - age),
     waitingSince: null,
     backoffUntil: addedAt,
