--- a/src/scheduling/preemption.ts
+++ b/src/scheduling/preemption.ts
@@ -46,6 +46,8 @@
 /** What a preemption must observe beside the job's own requirements. */
 export interface PreemptionOptions {
   readonly scope?: PreemptionScope;
+  /** Machines that the task may use, beside its requirements. */
+  readonly mayUse?: (machine: Machine) => boolean;
   /** The longest time to save, in seconds, of tasks that are stopped for the same start already. */
   readonly graceS?: number;
 }
--- a/test/support/cycle-runner.ts
+++ b/test/support/cycle-runner.ts
@@ -15,7 +15,8 @@
 } from '../../src/shards/model.js';
 import { planCycle } from '../../src/scheduling/plan.js';
 import { newReservation } from '../../src/scheduling/reservation-terms.js';
-import type { SchedulingContext } from '../../src/scheduling/cycle.js';
+import { SchedulingCycle } from '../../src/scheduling/scheduling-cycle.js';
+import type { SchedulingContext, SchedulingPlan } from '../../src/scheduling/cycle.js';
 import { GuaranteedJobs } from '../../src/quota/guaranteed-jobs.js';
 import { RangeSet } from '../../src/model/ranges.js';
 import type { Team } from '../../src/settings/settings.js';
@@ -162,7 +163,20 @@
   runCycle(): string {
     this.now += 2000;
     for (const machine of this.shard.machines.values()) machine.lastHeardAt = this.now as never;
-    const context = {
+    const plan = planCycle(this.shard, this.createContext());
+    return this.carryOut(plan);
+  }
+
+  /** Decides something in a cycle of its own, which is not carried out. */
+  inCycle(decide: (cycle: SchedulingCycle) => boolean): { plan: SchedulingPlan; preempted: boolean } {
+    for (const machine of this.shard.machines.values()) machine.lastHeardAt = this.now as never;
+    const cycle = new SchedulingCycle(this.shard, this.createContext());
+    const preempted = decide(cycle);
+    return { plan: cycle.plan, preempted };
+  }
+
+  private createContext(): SchedulingContext {
+    return {
       now: this.now,
       types: this.types,
       teams: this.teams,
@@ -175,7 +189,9 @@
       heartbeatIntervalMs: 1500,
       gangWaitMs: 30_000,
     } as unknown as SchedulingContext;
-    const plan = planCycle(this.shard, context);
+  }
+
+  private carryOut(plan: SchedulingPlan): string {
     const decisions: string[] = [];
     for (const start of plan.starts) {
       decisions.push(`start ${start.job.id}/${start.index} on ${start.machine.id}`);
