Stops for a gang heed its own reservations, and the machines that its attempt has left

Symptom: more is stopped for a gang than it needs, and it does not start. Causes, both found by reading: a member that found room on the machine reserved for another one gave up its own, so that two members counted on one machine; and the search for tasks to stop did not know on which machines a replaced member must not start. Now a member keeps the machine that is being emptied for it, and the search leaves out machines that the member may not use.

--- a/src/scheduling/gangs.ts
+++ b/src/scheduling/gangs.ts
@@ -8,7 +8,7 @@
 import { requiredZone, type Machine, type ShardJob } from '../shards/model.js';
 import { candidatesFor, type CandidateMachines } from './candidates.js';
 import type { TaskStart } from './cycle.js';
-import { preemptForTask } from './preemption.js';
+import { anyMachine, preemptForTask } from './preemption.js';
 import { longestGraceS } from './preemption-stops.js';
 import { endReservationByStart, recordObstacle } from './reservation-ends.js';
 import { machineMadeFree } from './reservation-precedence.js';
@@ -80,7 +80,7 @@
     return;
   }
   recordObstacle(job, found.blockedByQuota ? 'quota' : 'gang incomplete');
-  if (!found.blockedByQuota && preemptForGang(cycle, job, found)) return;
+  if (!found.blockedByQuota && preemptForGang(cycle, job, found, attemptMayUse(job, attempt))) return;
   undoSearch(cycle, job, found, usageBefore);
   if (found.blockedByQuota) reserveQuota(cycle, job, job.waiting.size);
   else reserveGangMachines(cycle, job, attemptMayUse(job, attempt));
@@ -123,10 +123,11 @@
  * An attempt must not return to a machine that it has left: a command to stop it there may still be on its way, and
  * would stop the member that came back.
  */
-const attemptMayUse =
-  (job: ShardJob, attempt: Attempt | undefined) =>
-  (machine: Machine): boolean =>
-    attempt === undefined || !job.gangHistory?.leftMachines.has(machine.id);
+function attemptMayUse(job: ShardJob, attempt: Attempt | undefined): (machine: Machine) => boolean {
+  const leftMachines = job.gangHistory?.leftMachines;
+  if (attempt === undefined || !leftMachines || leftMachines.size === 0) return anyMachine;
+  return (machine) => !leftMachines.has(machine.id);
+}
 
 function reservedMachine({ shard }: SchedulingCycle, job: ShardJob, index: number): Machine | undefined {
   const reservation = job.reservations.get(index);
@@ -150,7 +151,12 @@
 }
 
 /** Stops others for the members without a machine, but only if that is enough for all; the rest keep their machines. */
-function preemptForGang(cycle: SchedulingCycle, job: ShardJob, found: GangSearch): boolean {
+function preemptForGang(
+  cycle: SchedulingCycle,
+  job: ShardJob,
+  found: GangSearch,
+  mayUse: (machine: Machine) => boolean,
+): boolean {
   if (cycle.context.now < job.nextPreemptionSearchAt || job.waitingSince === null) return false;
   if (found.unplaced.length > MAX_MEMBERS_WITH_PREEMPTION) return false;
   // The tasks that an earlier cycle has stopped for it have not ended yet.
@@ -162,7 +168,7 @@
   const stopsBefore = cycle.plan.stops.length;
   for (const index of found.unplaced) {
     if (job.reservations.has(index)) continue;
-    if (preemptForTask(cycle, job, index, requiredZone(job, index))) continue;
+    if (preemptForTask(cycle, job, index, requiredZone(job, index), { mayUse })) continue;
     undo();
     return false;
   }
@@ -179,7 +185,13 @@
   graceS: number,
 ): void {
   for (const { index, machine } of found.starts) {
-    if (job.reservations.get(index)?.machine === machine.id) continue;
+    const reserved = reservedMachine(cycle, job, index);
+    if (reserved && job.reservations.get(index)?.withoutPreemption === false) {
+      // It keeps the machine that is being emptied for it: what it has found may be another member's.
+      returnResources(cycle.freeResources.get(machine.id), job.spec);
+      takeResources(cycle.freeResources.get(reserved.id), job.spec);
+      continue;
+    }
     cycle.plan.reservations.push({ job, index, machine: machine.id, withoutPreemption: false, graceS });
   }
   for (const index of found.unplaced) {
--- a/src/scheduling/preemption.ts
+++ b/src/scheduling/preemption.ts
@@ -36,6 +36,16 @@
 /** Where preemption may happen. */
 export type PreemptionScope = 'any machine' | 'machines with the image';
 
+/** No machine is left out. */
+export const anyMachine = (): boolean => true;
+
+/** Which machines a search looks at. */
+interface PreemptionTarget {
+  readonly zone: ZoneId | null;
+  readonly scope: PreemptionScope;
+  readonly mayUse: (machine: Machine) => boolean;
+}
+
 /** Tasks on one machine whose end makes room for a task. */
 interface Preemption {
   readonly machine: Machine;
@@ -58,19 +68,19 @@
   job: ShardJob,
   index: number,
   zone: ZoneId | null,
-  { scope = 'any machine', graceS = 0 }: PreemptionOptions = {},
+  { scope = 'any machine', mayUse = anyMachine, graceS = 0 }: PreemptionOptions = {},
 ): boolean {
   if (!mayPreempt(cycle, job, scope)) return false;
-  const preemption = searchPreemption(cycle, job, zone, scope);
+  const preemption = searchPreemption(cycle, job, { zone, scope, mayUse });
   if (!preemption) return false;
-  const { machine } = preemption;
-  stopPreempted(cycle, preemption.allocations, {
+  const { machine, allocations } = preemption;
+  stopPreempted(cycle, allocations, {
     reason: 'capacity',
     preemptor: job.id,
     preemptorIndex: index,
     reservedMachine: machine.id,
   });
-  reserveAfterPreemption(cycle, job, index, machine, Math.max(graceS, longestGraceS(preemption.allocations)));
+  reserveAfterPreemption(cycle, job, index, machine, Math.max(graceS, longestGraceS(allocations)));
   return true;
 }
 
@@ -104,18 +114,20 @@
 function searchPreemption(
   cycle: SchedulingCycle,
   job: ShardJob,
-  zone: ZoneId | null,
-  scope: PreemptionScope,
+  target: PreemptionTarget,
 ): Preemption | null {
   const { shard, context } = cycle;
+  const { zone, scope, mayUse } = target;
   const remembersFailure = job.spec.priority !== Priority.critical && scope === 'any machine';
   const searchKey = remembersFailure ? failedSearchKey(job, zone, context) : null;
   if (searchKey !== null && hasFailedSearch(shard, searchKey, job.spec, context.now)) return null;
   cycle.preemptionSearches += 1;
-  const preemption = cheapestPreemption(cycle, job, zone, scope);
+  const preemption = cheapestPreemption(cycle, job, target);
   if (!preemption && searchKey !== null) {
     job.nextPreemptionSearchAt = plus(context.now, millis(SEARCH_RETRY_DELAY_MS));
-    rememberFailedSearch(shard, searchKey, job.spec, context.now);
+    // A search that had to leave out machines speaks for this job alone.
+    if (mayUse === anyMachine && job.unusedPreemptions.size === 0)
+      rememberFailedSearch(shard, searchKey, job.spec, context.now);
   }
   return preemption;
 }
@@ -124,8 +136,7 @@
 function cheapestPreemption(
   cycle: SchedulingCycle,
   job: ShardJob,
-  zone: ZoneId | null,
-  scope: PreemptionScope,
+  { zone, scope, mayUse }: PreemptionTarget,
 ): Preemption | null {
   const { shard } = cycle;
   const preemptor = { job, guaranteed: cycle.context.guaranteed(job.id) };
@@ -136,7 +147,7 @@
   let best: Preemption | null = null;
   let found = 0;
   for (const machine of machines) {
-    if (hasUnusedPreemption(job, machine.id, cycle.context.now)) continue;
+    if (!mayUse(machine) || hasUnusedPreemption(job, machine.id, cycle.context.now)) continue;
     const free = freeBeforePreemption(cycle, machine, preemptor, zone);
     const preemption = free && findPreemptionOn(cycle, machine, free, preemptor);
     if (!preemption) continue;
--- a/test/scheduling/gang-preemption.test.ts
+++ b/test/scheduling/gang-preemption.test.ts
@@ -9,7 +9,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { preemptForTask } from '../../src/scheduling/preemption.js';
-import { SchedulingCycle } from '../../src/scheduling/scheduling-cycle.js';
+import type { SchedulingCycle } from '../../src/scheduling/scheduling-cycle.js';
 import { CycleRunner } from '../support/cycle-runner.js';
 
 const CRITICAL_SERVICE = { kind: 'service', priority: 0, team: 'blue', cpus: 4 };
