The half of a job in one zone and spread leaves a zone that has lost its machines, as one group

Cause: tasks change their zone only in jobs that are either in one zone or spread, though for such a job the same holds as for one in one zone, of the half that may run. Now that half moves as one group in one write on condition of the record, while every task of it waits on the shard that moves it: none on a machine, unaccounted, unconfirmed, changing hands or done. The other half stays in no zone.

--- a/src/jobs/record.ts
+++ b/src/jobs/record.ts
@@ -11,6 +11,9 @@
   readonly zone: ZoneId | null;
 }
 
+/** A zone without machines: tasks of a spread job that no zone may take wait in it. */
+export const NO_ZONE = '' as ZoneId;
+
 /** What the store holds of an active job. */
 export interface JobRecord {
   readonly spec: JobSpec;
--- a/src/overflow/assignment.ts
+++ b/src/overflow/assignment.ts
@@ -3,7 +3,7 @@
  * it takes off what peers have announced.
  */
 import type { InstanceType } from '../cloud/wire.js';
-import type { Assignment } from '../jobs/record.js';
+import { NO_ZONE, type Assignment } from '../jobs/record.js';
 import { Priority, type JobSpec } from '../jobs/spec.js';
 import { covers, fits, scale, fittingRatio, TOLERANCE, ZERO, type Resources } from '../model/resources.js';
 import type { ImageId, ShardId, SteadyMs, ZoneId } from '../model/units.js';
@@ -28,9 +28,6 @@
   readonly random: Random;
 }
 
-/** A zone without machines: tasks of a spread job that no zone may take wait in it. */
-const NO_ZONE = '' as ZoneId;
-
 function capacityInZone(context: AssignmentContext, spec: JobSpec, zone: ZoneId): number {
   let tasks = 0;
   for (const peer of context.freeCapacity.values())
--- a/src/overflow/zone-reassignment.ts
+++ b/src/overflow/zone-reassignment.ts
@@ -4,7 +4,7 @@
  * so that the tasks that run satisfy the constraints of the job at any time.
  */
 import type { JobSpec } from '../jobs/spec.js';
-import type { JobRecord } from '../jobs/record.js';
+import { NO_ZONE, type Assignment, type JobRecord } from '../jobs/record.js';
 import { waitingRuns, type ShardJob } from '../shards/model.js';
 import { RangeSet } from '../model/ranges.js';
 import type { ShardId, SteadyMs, ZoneId } from '../model/units.js';
@@ -38,12 +38,27 @@
   return count;
 }
 
-/** How many more tasks the job may have in the zone. */
-function remainingZoneAllowance(job: ShardJob, zone: ZoneId): number {
+/** The assignments of tasks that may run: those in no zone only wait. */
+const runnableAssignments = ({ assignments }: JobRecord): Assignment[] =>
+  assignments.filter((assignment) => assignment.zone !== NO_ZONE);
+
+/**
+ * How many tasks of a job that must be in one zone may leave `fromZone`: all that may run, which is half of them where
+ * the job must be spread too. They move together or not at all, so none of them may be or have been on a machine.
+ */
+function movableGroup({ record, waiting }: ShardJob, fromZone: ZoneId): number {
+  const group = runnableAssignments(record);
+  if (!record.done.isEmpty || group.some((assignment) => assignment.zone !== fromZone)) return 0;
+  const tasks = RangeSet.of(group.map(({ from, to }) => [from, to] as const));
+  for (const index of tasks) if (!waiting.has(index)) return 0;
+  return tasks.size;
+}
+
+/** How many more tasks the job may have in the zone, of those that wait for `fromZone`. */
+function remainingZoneAllowance(job: ShardJob, fromZone: ZoneId, zone: ZoneId): number {
   const { spec, record } = job;
-  if (spec.spread) return Math.ceil(spec.tasks / 2) - tasksInZone(record, zone);
-  // In one zone: all tasks move together, so none of them may be or have been on a machine.
-  return job.waiting.size === spec.tasks ? spec.tasks : 0;
+  if (spec.oneZone) return movableGroup(job, fromZone);
+  return Math.ceil(spec.tasks / 2) - tasksInZone(record, zone);
 }
 
 /**
@@ -53,20 +68,22 @@
  */
 function collectingShard({ record }: ShardJob): ShardId | null {
   if (!record.done.isEmpty) return null;
-  return Math.min(...record.assignments.map((assignment) => assignment.shard)) as ShardId;
+  return Math.min(...runnableAssignments(record).map((assignment) => assignment.shard)) as ShardId;
 }
 
 /**
- * A job that must be both in one zone and spread stays where it was assigned: half of it, in one zone. So does a gang
- * that is spread: its members would come to different shards.
+ * Which jobs may change their zone. Of one that must be both in one zone and spread, the tasks in no zone stay there. A
+ * gang that is spread stays where it was assigned: its members would come to different shards.
  */
-const mayChangeZone = (spec: JobSpec): boolean =>
-  spec.zone === null && spec.spread !== spec.oneZone && !(spec.kind === 'gang' && spec.spread);
+const mayChangeZone = (spec: JobSpec, fromZone: ZoneId): boolean =>
+  spec.zone === null &&
+  (spec.oneZone ? fromZone !== NO_ZONE : spec.spread) &&
+  !(spec.kind === 'gang' && spec.spread);
 
 /** Has the job waited long enough, and is it known of all its tasks whether they are on a machine? */
-function isReassignmentDue(job: ShardJob, now: SteadyMs): boolean {
+function isReassignmentDue(job: ShardJob, fromZone: ZoneId, now: SteadyMs): boolean {
   const { spec, waitingSince } = job;
-  if (!mayChangeZone(spec) || waitingSince === null) return false;
+  if (!mayChangeZone(spec, fromZone) || waitingSince === null) return false;
   if (now - waitingSince < ZONE_REASSIGNMENT_DELAY_MS) return false;
   return [job.handingOver, job.unaccounted, job.unconfirmed].every((tasks) => tasks.isEmpty);
 }
@@ -83,7 +100,7 @@
   fromZone: ZoneId,
   context: ZoneReassignmentContext,
 ): ZoneReassignment | null {
-  if (!isReassignmentDue(job, context.now)) return null;
+  if (!isReassignmentDue(job, fromZone, context.now)) return null;
   const waiting = tasksWaitingFor(fromZone, job);
   const collector = job.spec.oneZone ? collectingShard(job) : null;
   if (collector !== null && collector !== shard)
@@ -114,8 +131,8 @@
     if (zone === fromZone) continue;
     const bestPeer = rankPeers(freeCapacity.values(), homeZone, spec, zone, now, random)[0];
     if (!bestPeer) continue;
-    const allowed = remainingZoneAllowance(job, zone);
-    const count = Math.min(waitingTasks, allowed, spec.spread ? bestPeer.capacity : allowed);
+    const allowed = remainingZoneAllowance(job, fromZone, zone);
+    const count = Math.min(waitingTasks, allowed, spec.oneZone ? allowed : bestPeer.capacity);
     if (count > (best?.count ?? 0)) best = { zone, freeCapacity: bestPeer.freeCapacity, count };
   }
   return best;
