A giver takes a machine back only when the store says that it is still its own

Symptom: a task may run twice: the giver starts it on a machine that belongs to another shard already, drops both when the record comes, and starts it again elsewhere. Cause: after a conflict the transfer ended as if it had been refused, though the conflict may be with the first copy of the same write, whose answer was lost. Now the record is read until the store answers; the machine takes tasks again only if the record names this shard, or the write was certainly refused. Transfers of tasks already did so; both use one function now.

--- a/src/overflow/machine-transfer.ts
+++ b/src/overflow/machine-transfer.ts
@@ -6,7 +6,7 @@
 import type { Core } from '../core.js';
 import { fits, isZero, taskSlots, subtract } from '../model/resources.js';
 import type { Machine, Shard } from '../shards/model.js';
-import { encodeMachineRecord, machineKey } from '../shards/codec.js';
+import { decodeMachineRecord, encodeMachineRecord, machineKey } from '../shards/codec.js';
 import { encodePeerMessage } from '../peers/codec.js';
 import type { MachineRequest } from '../peers/messages.js';
 import { type OversizedGang } from '../scheduling/cycle.js';
@@ -15,6 +15,7 @@
 import type { ShardId, SteadyMs } from '../model/units.js';
 import { millis, plus } from '../model/units.js';
 import { zoneForShard } from './announcement.js';
+import { readAfterConflict } from './read-after-conflict.js';
 
 /** Between two requests of a shard. */
 const REQUEST_INTERVAL_MS = 2000;
@@ -167,9 +168,16 @@
       { machine: machine.id, from: shard.id, to: receivingShard, result: result.kind },
       'machine transferred',
     );
-    await core.exclusive(() => {
-      if (result.kind === 'done') core.storeCache.apply(key, value, result.revision);
-      machine.draining = false;
-    });
+    if (result.kind === 'done')
+      await core.exclusive(() => core.storeCache.apply(key, value, result.revision));
+    else if (result.kind === 'refused' || (await this.isStillOwn(shard, machine)))
+      await core.exclusive(() => (machine.draining = false));
+  }
+
+  /** After a conflict: an earlier copy of the write may have given the machine away. */
+  private async isStillOwn(shard: Shard, machine: Machine): Promise<boolean> {
+    const entry = await readAfterConflict(this.core, machineKey(machine.id));
+    const record = entry && decodeMachineRecord(entry.value);
+    return record?.shard === shard.id;
   }
 }
--- a/src/overflow/task-transfer.ts
+++ b/src/overflow/task-transfer.ts
@@ -10,8 +10,9 @@
 import type { UnplacedTasks } from '../scheduling/cycle.js';
 import { RangeSet } from '../model/ranges.js';
 import { RequestPriority } from '../store/rate-limiter.js';
-import { millis, type SteadyMs, type ZoneId } from '../model/units.js';
+import type { SteadyMs, ZoneId } from '../model/units.js';
 import { zoneForShard } from './announcement.js';
+import { readAfterConflict } from './read-after-conflict.js';
 import { chooseZoneReassignment } from './zone-reassignment.js';
 import type { FreeCapacity } from '../peers/free-capacity.js';
 import { reserveCapacity, rankPeers } from './peer-ranking.js';
@@ -21,7 +22,6 @@
 const CRITICAL_TRANSFER_DELAY_MS = 2000;
 /** Tasks that have just arrived wait for a scheduling cycle of their own shard first. */
 const MIN_WAIT_MS = 30;
-const READ_RETRY_DELAY = millis(200);
 
 /** Decision: these tasks move to the receiving shard. */
 export interface TaskTransfer {
@@ -171,25 +171,10 @@
     );
     if (result.kind === 'done')
       await core.exclusive(() => core.storeCache.apply(key, record, result.revision));
-    else if (result.kind === 'conflict') await this.readAfterConflict(key);
+    else if (result.kind === 'conflict') await readAfterConflict(core, key);
     await core.exclusive(() => this.requeueOwnTasks(shard, job));
   }
 
-  /** A conflict means that the watch cache has an older record: reads the newest before anything is decided by it. */
-  private async readAfterConflict(key: ReturnType<typeof activeJobKey>): Promise<void> {
-    for (;;) {
-      const read = await this.core.store.get(key, RequestPriority.handOver);
-      if (read.kind === 'found') {
-        await this.core.exclusive(() =>
-          this.core.storeCache.apply(key, read.entry.value, read.entry.version),
-        );
-        return;
-      }
-      if (read.kind === 'absent') return;
-      await this.core.sleep(READ_RETRY_DELAY);
-    }
-  }
-
   /** Tasks that the record still assigns to this shard wait again; an applied transfer has assigned them elsewhere. */
   private requeueOwnTasks(shard: Shard, job: ShardJob): void {
     if (shard.jobs.get(job.id) !== job) return;
--- a/test/overflow/machine-transfer.test.ts
+++ b/test/overflow/machine-transfer.test.ts
@@ -11,6 +11,7 @@
 import type { Core } from '../../src/core.js';
 import { silentLog } from '../../src/logging/log.js';
 import { MachineTransferService } from '../../src/overflow/machine-transfer.js';
+import type { MachineRequest } from '../../src/peers/messages.js';
 import { encodeMachineRecord, machineKey } from '../../src/shards/codec.js';
 import type { Machine, Shard } from '../../src/shards/model.js';
 import type { ReadResult } from '../../src/store/client.js';
@@ -20,6 +21,19 @@
 const NOW = 10_000;
 const RECORD_VERSION = 30;
 
+const REQUEST = {
+  kind: 'machineRequest',
+  from: 1,
+  to: 0,
+  tasks: 1,
+  cpus: 4,
+  gpus: 0,
+  memoryGb: 1,
+  types: null,
+  zone: 'east',
+  spot: false,
+} as unknown as MachineRequest;
+
 /** A shard led here that is asked for its only machine; the repeated write meets a conflict, and then `reads` follow. */
 async function giveAfterLostAnswer(
   reads: ReadResult[],
@@ -47,18 +61,7 @@
     exclusive: (work: () => unknown) => Promise.resolve(work()),
     sleep: () => Promise.resolve(),
   } as unknown as Core;
-  new MachineTransferService(core).handleRequest({
-    kind: 'machineRequest',
-    from: 1 as never,
-    to: 0 as never,
-    tasks: 1,
-    cpus: 4,
-    gpus: 0,
-    memoryGb: 1,
-    types: null,
-    zone: 'east' as never,
-    spot: false,
-  });
+  new MachineTransferService(core).handleRequest(REQUEST);
   assert.equal(machine.draining, true);
   for (let turn = 0; turn < 10; turn += 1) await flushPromises();
   return { machine, shard, applied };
