--- a/src/core.ts
+++ b/src/core.ts
@@ -185,6 +185,11 @@
     return this.storeCache.loaded && this.storeCache.get(activeJobKey(job)) === undefined;
   }
 
+  /** Whether the store has a record of the job of which this process has read none: the job has not ended. */
+  isRecordUnreadable(job: JobId): boolean {
+    return !this.activeJobs.has(job) && this.storeCache.get(activeJobKey(job)) !== undefined;
+  }
+
   /** Whether a controller holds its membership key; with an incarnation, whether that process holds it. */
   isAlive(node: ControllerId, incarnation: Incarnation | null): boolean {
     const entry = this.storeCache.get(aliveKey(node));
--- a/src/workers/reconciliation.ts
+++ b/src/workers/reconciliation.ts
@@ -34,6 +34,8 @@
 export interface ReconciliationContext extends TaskExitContext {
   /** The specification of a job that has ended and may still have tasks on machines. */
   readonly endedJobSpec: (job: JobId) => JobSpec | null;
+  /** The store has a record of the job that this version cannot read: the job has not ended. */
+  readonly isRecordUnreadable: (job: JobId) => boolean;
   /** A worker that received the answer to its heartbeat sends the next one within this time. */
   readonly heartbeatTimeout: Millis;
 }
--- a/src/workers/shard-updates.ts
+++ b/src/workers/shard-updates.ts
@@ -19,6 +19,7 @@
   readonly log: Log;
   readonly recentlyEndedJobs: ReadonlyMap<JobId, JobSpec>;
   readonly heartbeatIntervalMs: number;
+  isRecordUnreadable(job: JobId): boolean;
   requestCycle(): void;
 }
 
@@ -41,6 +42,7 @@
       now,
       log,
       endedJobSpec: (job) => recentlyEndedJobs.get(job) ?? null,
+      isRecordUnreadable: (job) => this.controller.isRecordUnreadable(job),
       onTaskDone: (allocation) => this.recordRuntime(allocation, now),
       heartbeatTimeout: millis(
         HEARTBEAT_TIMEOUT_INTERVALS * heartbeatIntervalMs + HEARTBEAT_TIMEOUT_MARGIN_MS,
--- a/test/support/shard-fixture.ts
+++ b/test/support/shard-fixture.ts
@@ -18,6 +18,7 @@
   type Address,
   type AgentEpoch,
   type InstanceTypeId,
+  type JobId,
   type MachineId,
   type Sequence,
   type ZoneId,
@@ -86,6 +87,8 @@
     new Map([[TYPE.name, TYPE]]),
   );
   readonly machine: Machine;
+  /** Jobs whose records in the store cannot be read. */
+  readonly unreadableJobs = new Set<JobId>();
   /** When heartbeats are received. */
   now = steady(1000);
   private sequence = 0;
@@ -171,6 +174,7 @@
     const applied = reconcileHeartbeat(this.shard, machine, heartbeat, channel, {
       now: this.now,
       endedJobSpec: () => null,
+      isRecordUnreadable: (job) => this.unreadableJobs.has(job),
       onTaskDone: () => undefined,
       heartbeatTimeout: millis(1e9),
       log: silentLog(),
--- a/test/workers/direct-commands.test.ts
+++ b/test/workers/direct-commands.test.ts
@@ -16,6 +16,7 @@
     log: silentLog(),
     settings: { maxConnections: 100 },
     recentlyEndedJobs: new Map<never, never>(),
+    isRecordUnreadable: () => false,
     heartbeatIntervalMs: 1000,
     requestCycle: () => undefined,
     mayCommand: () => this.mayCommand,
--- a/test/workers/gang-heartbeats.test.ts
+++ b/test/workers/gang-heartbeats.test.ts
@@ -17,6 +17,7 @@
   now: steady(1_100_000),
   log: silentLog(),
   endedJobSpec: () => null,
+  isRecordUnreadable: () => false,
   onTaskDone: () => undefined,
   heartbeatTimeout: millis(5000),
 };
--- a/test/workers/heartbeat-answers.test.ts
+++ b/test/workers/heartbeat-answers.test.ts
@@ -27,6 +27,7 @@
     shards: new Map([[this.shard.id, this.shard]]),
     storeCache: { loaded: true, get: () => undefined },
     recentlyEndedJobs: new Map<never, never>(),
+    isRecordUnreadable: () => false,
     heartbeatIntervalMs: 1000,
     requestCycle: () => undefined,
     mayCommand: () => this.mayCommand,
