What rests on an unreadable record is left as it is

Symptoms, from records that a later version has written: its progress is overwritten by what an older record gives; a process that starts stops the tasks of a job whose record it cannot read; a shard is acquired under a fencing token that was given out before. Cause: what cannot be read was taken for absent, or for the last that could be read. Now progress waits (the workers keep the results); such tasks go on as tasks of unknown size, and are adopted when the record can be read; no shard is acquired while the token's record cannot be read, and an error line says so.

--- a/src/jobs/job-record-cache.ts
+++ b/src/jobs/job-record-cache.ts
@@ -23,6 +23,8 @@
 export class JobRecordCache {
   private readonly active = new Map<JobId, JobRecord>();
   private readonly ended = new Map<JobId, JobSpec>();
+  /** Jobs whose newest record cannot be read; `get` has an older one of them, or none. */
+  private readonly unreadable = new Set<JobId>();
 
   get(id: JobId): JobRecord | undefined {
     return this.active.get(id);
@@ -32,6 +34,11 @@
     return this.active.has(id);
   }
 
+  /** The store has a newer record of the job than `get`: nothing may be written that rests on the older one. */
+  isOutdated(id: JobId): boolean {
+    return this.unreadable.has(id);
+  }
+
   /** The records of all active jobs, in the order in which the jobs became known. */
   values(): MapIterator<JobRecord> {
     return this.active.values();
@@ -49,7 +56,11 @@
       return { kind: 'ended' };
     }
     const record = decodeRecord(value);
-    if (!record) return { kind: 'unreadable' };
+    if (!record) {
+      this.unreadable.add(id);
+      return { kind: 'unreadable' };
+    }
+    this.unreadable.delete(id);
     this.active.set(id, record);
     return { kind: 'active', record };
   }
@@ -57,6 +68,7 @@
   private end(id: JobId): void {
     const last = this.active.get(id);
     this.active.delete(id);
+    this.unreadable.delete(id);
     if (last) this.ended.set(id, last.spec);
     // As many jobs may end together as are active, and their tasks are on machines for a while.
     if (this.ended.size > Math.max(MIN_RECENTLY_ENDED, this.active.size))
--- a/src/jobs/progress.ts
+++ b/src/jobs/progress.ts
@@ -9,6 +9,7 @@
 import { RequestPriority } from '../store/rate-limiter.js';
 import type { Change } from '../store/wire.js';
 import type { Clock, JobId, ShardId, SteadyMs } from '../model/units.js';
+import type { JobRecordCache } from './job-record-cache.js';
 import type { ActiveJobs, StoreAccess } from './dependencies.js';
 import { endJobChanges } from './final-states.js';
 import { encodeRecord, activeJobKey } from './codec.js';
@@ -31,7 +32,7 @@
   readonly settings: Pick<Settings, 'maxValueBytes'>;
   /** The shards that this controller leads. */
   readonly shards: ReadonlyMap<ShardId, Shard>;
-  readonly activeJobs: ActiveJobs;
+  readonly activeJobs: ActiveJobs & Pick<JobRecordCache, 'isOutdated'>;
   /** Requests a scheduling cycle soon. */
   readonly requestCycle: () => void;
 }
@@ -79,6 +80,7 @@
         if (job.finished.isEmpty || !record || shard.jobs.get(job.id) !== job)
           shard.jobsWithUnrecordedEnds.delete(job);
         if (job.finished.isEmpty || !record || this.writesInProgress.has(job.id)) continue;
+        if (this.context.activeJobs.isOutdated(job.id)) continue;
         const finished = pendingWrites.get(job.id)?.finished ?? RangeSet.empty();
         finished.addAll(job.finished);
         const isLast = this.isLast(job, finished, record);
--- a/src/leadership/leadership-transactions.ts
+++ b/src/leadership/leadership-transactions.ts
@@ -10,6 +10,7 @@
   decodeFencingToken,
   encodeFencingToken,
   encodeShardRecord,
+  isUnreadableToken,
   shardKey,
   TOKEN_KEY,
 } from '../shards/codec.js';
@@ -27,7 +28,7 @@
 
 /** What the transactions use of the controller. */
 export interface LeadershipTransactionContext extends CacheStateContext {
-  readonly log: Pick<Log, 'info'>;
+  readonly log: Pick<Log, 'error' | 'info'>;
   readonly settings: Pick<Settings, 'node'>;
   readonly incarnation: Incarnation;
   readonly storeCache: Pick<StoreCache, 'revision' | 'confirmedAt' | 'get' | 'version'>;
@@ -50,13 +51,22 @@
 
 /** Acquires and releases leadership in the store. */
 export class LeadershipTransactions {
+  /** The version of the token's record that was reported. */
+  private reportedTokenVersion: Revision | null = null;
+
   constructor(private readonly context: LeadershipTransactionContext) {}
 
   /** Makes this process the leader under the next fencing token; whether it certainly is. */
   async acquire(shard: ShardId): Promise<boolean> {
     const { context } = this;
     const { settings, storeCache, incarnation } = context;
-    const nextToken = fencingToken(decodeFencingToken(storeCache.get(TOKEN_KEY)?.value) + 1);
+    const lastToken = storeCache.get(TOKEN_KEY)?.value;
+    // Prevents: a leader under a token that was given out before, whose commands pass for those of an earlier leader.
+    if (isUnreadableToken(lastToken)) {
+      this.reportUnreadableToken(shard);
+      return false;
+    }
+    const nextToken = fencingToken(decodeFencingToken(lastToken) + 1);
     const record = { leader: settings.node, incarnation, fencingToken: nextToken };
     const result = await context.compareAndSwapUntilCertain(
       [
@@ -75,6 +85,15 @@
     return result.kind === 'done';
   }
 
+  /** Once for each record: the shards are looked at several times a second. */
+  private reportUnreadableToken(shard: ShardId): void {
+    const { log, storeCache } = this.context;
+    const version = storeCache.version(TOKEN_KEY);
+    if (version === this.reportedTokenVersion) return;
+    this.reportedTokenVersion = version;
+    log.error({ shard, version }, 'fencing token cannot be read, leadership is not acquired');
+  }
+
   /** Gives the shard up, for any controller to acquire; whether it certainly has been. */
   async release(shard: Shard): Promise<boolean> {
     const { context } = this;
--- a/src/leadership/leadership.ts
+++ b/src/leadership/leadership.ts
@@ -29,6 +29,7 @@
 /** What the leadership uses of the controller. */
 export interface LeadershipContext
   extends LeadershipTransactionContext, MembershipContext, OpenShardContext, ReachabilityContext {
+  readonly log: LeadershipTransactionContext['log'];
   readonly settings: Pick<Settings, 'node' | 'shard' | 'shards' | 'zone' | 'peers'>;
   readonly tuning: Pick<Tuning, 'membershipTtl' | 'watchTimeout'>;
   readonly storeCache: Pick<
--- a/src/shards/codec.ts
+++ b/src/shards/codec.ts
@@ -132,6 +132,10 @@
 /** The value of `TOKEN_KEY`. */
 export const encodeFencingToken = (token: FencingToken): unknown => ({ token });
 
-/** 0: there is none yet, or it cannot be read. */
+/** A token has been written, and cannot be read: how high it is, is not known. */
+export const isUnreadableToken = (value: unknown): boolean =>
+  value !== undefined && parse(tokenSchema, value) === null;
+
+/** 0: there is none yet, or it cannot be read: ask `isUnreadableToken` before a token is derived from it. */
 export const decodeFencingToken = (value: unknown): FencingToken =>
   (parse(tokenSchema, value)?.token ?? 0) as FencingToken;
--- a/src/shards/sync.ts
+++ b/src/shards/sync.ts
@@ -6,7 +6,7 @@
 import type { RangeSet } from '../model/ranges.js';
 import { millis } from '../model/units.js';
 import type { JobId, Millis, Revision, SteadyMs } from '../model/units.js';
-import { newShardJob, type ShardJob } from './job.js';
+import { newShardJob, withdrawFromQueue, type ShardJob } from './job.js';
 import type { Shard } from './shard.js';
 
 /** A record as it was read, and what follows from it for the shard. */
@@ -56,6 +56,8 @@
   if (!mayBeRunning) shard.addUnconfirmed(job, unfinished);
   else if (!atAcquisition) shard.addUnaccounted(job, unfinished);
   shard.jobs.set(job.id, job);
+  // Seen on machines while the record could not be read.
+  for (const { index } of shard.allocationsByJob.get(job.id) ?? []) withdrawFromQueue(job, index, index + 1);
   shard.queue.add(job);
   if (job.gangHistory) shard.gangs.add(job);
 }
--- a/src/workers/reconciliation.ts
+++ b/src/workers/reconciliation.ts
@@ -4,23 +4,11 @@
  * handles the tasks that ended. Callers hold the controller's lock.
  */
 import type { GangHistory } from '../model/gang.js';
-import type { Attempt, JobId, Millis, TaskId } from '../model/units.js';
+import type { Attempt, Millis, TaskId } from '../model/units.js';
 import { elapsed, plus, taskId, toMillis } from '../model/units.js';
-import type { JobSpec } from '../jobs/spec.js';
-import {
-  addToMachine,
-  allocate,
-  isAssignedTo,
-  release,
-  withdrawFromQueue,
-  type Allocation,
-  type Machine,
-  type Shard,
-  type ShardJob,
-} from '../shards/model.js';
+import { release, type Allocation, type Machine, type Shard } from '../shards/model.js';
 import {
   isOutdated,
-  launchStillExpected,
   mayReleaseAbsent,
   provesReconciled,
   releaseAll,
@@ -28,14 +16,16 @@
   type StatusChannel,
 } from './release-rules.js';
 import { reconcileExitedTasks, type TaskExitContext } from './task-exits.js';
+import {
+  expectedAllocation,
+  hasStarted,
+  recordUnexpectedTask,
+  type UnexpectedTaskContext,
+} from './unexpected-tasks.js';
 import type { ActiveTaskStatus, Heartbeat } from './wire.js';
 
 /** What reconciliation uses of the controller. */
-export interface ReconciliationContext extends TaskExitContext {
-  /** The specification of a job that has ended and may still have tasks on machines. */
-  readonly endedJobSpec: (job: JobId) => JobSpec | null;
-  /** The store has a record of the job that this version cannot read: the job has not ended. */
-  readonly isRecordUnreadable: (job: JobId) => boolean;
+export interface ReconciliationContext extends TaskExitContext, UnexpectedTaskContext {
   /** A worker that received the answer to its heartbeat sends the next one within this time. */
   readonly heartbeatTimeout: Millis;
 }
@@ -131,7 +121,7 @@
     if (task.state === 'exited') continue;
     const id = taskId(task.job, task.index);
     seen.add(id);
-    const expected = machine.allocations.get(id);
+    const expected = expectedAllocation(shard, machine, id, task);
     if (expected?.attempt === task.attempt) updatePhase(shard, machine, expected, task.state, context);
     else recordUnexpectedTask(shard, machine, id, task, expected, context);
   }
@@ -164,70 +154,6 @@
   else gang.mayHaveStarted = false;
 }
 
-const hasStarted = (state: ActiveTaskStatus['state']): boolean => state === 'running' || state === 'saving';
-
-/**
- * A task, or an attempt of one, that this leadership did not start there. It is adopted if the shard is to run it and
- * knows it nowhere else; otherwise it is stopped, and uses capacity and quota until it has gone.
- */
-function recordUnexpectedTask(
-  shard: Shard,
-  machine: Machine,
-  id: TaskId,
-  task: ActiveTaskStatus,
-  expected: Allocation | undefined,
-  context: ReconciliationContext,
-): void {
-  const elsewhere = shard.allocations.get(id);
-  const job = shard.jobs.get(task.job);
-  const adopted = !elsewhere && !expected && job !== undefined && isUnfinishedHere(shard, job, task);
-  const spec = job?.spec ?? context.endedJobSpec(task.job);
-  const allocation: Allocation = {
-    ...observedAllocation(id, machine, task, spec, context),
-    stop: adopted ? null : { grace: 0, direct: 'due' },
-    unacknowledged: expected ? launchStillExpected(shard, machine, expected, context.now) : null,
-  };
-  if (adopted) allocate(shard, machine, allocation);
-  else {
-    addToMachine(shard, machine, allocation);
-    if (!elsewhere || elsewhere === expected) shard.allocations.set(id, allocation);
-    if (job) withdrawFromQueue(job, task.index, task.index + 1);
-    context.log.info(
-      { task: id, machine: machine.id, attempt: task.attempt },
-      'not assigned to this shard, stopping',
-    );
-  }
-  if (task.state !== 'fetching' && spec) shard.recordImage(machine, spec.image, spec.imageGb);
-}
-
-function isUnfinishedHere(shard: Shard, job: ShardJob, { index }: ActiveTaskStatus): boolean {
-  return isAssignedTo(shard, job.id, index) && !job.record.done.has(index) && !job.finished.has(index);
-}
-
-function observedAllocation(
-  id: TaskId,
-  machine: Machine,
-  { job, index, attempt, state }: ActiveTaskStatus,
-  spec: JobSpec | null,
-  { now }: ReconciliationContext,
-): Omit<Allocation, 'stop' | 'unacknowledged'> {
-  return {
-    id,
-    job,
-    index,
-    attempt,
-    machine: machine.id,
-    spec,
-    phase: state,
-    allocatedAt: now,
-    runningSince: hasStarted(state) ? now : null,
-    waitingForGangSince: state === 'gathering' ? now : null,
-    launchInFlight: false,
-    launchPending: false,
-    answeredSequence: null,
-  };
-}
-
 function reconcileAbsentTask(
   shard: Shard,
   machine: Machine,
