--- a/src/shards/statistics.ts
+++ b/src/shards/statistics.ts
@@ -34,6 +34,8 @@
   readonly usage: Resources;
   /** What the team may use on this shard. */
   readonly shardQuota: Resources;
+  /** Of the shard quota, what is kept for one job that has waited too long; other jobs of the team cannot use it. */
+  readonly reservedQuota: Resources;
   readonly waiting: Resources;
 }
 
@@ -91,6 +93,7 @@
     teams[team] = {
       usage: rounded(shard.totals.usageByTeam.get(team) ?? ZERO),
       shardQuota: rounded(shardQuota(team)),
+      reservedQuota: rounded(shard.quotaReservations.get(team) ?? ZERO),
       waiting: rounded(waiting),
     };
   }
--- a/test/support/cycle-runner.ts
+++ b/test/support/cycle-runner.ts
@@ -39,6 +39,8 @@
   readonly shard: Shard;
   /** What either team uses on other shards. */
   usedElsewhere: Resources = ZERO;
+  /** What services of either team use on other shards. */
+  servicesElsewhere: Resources = ZERO;
   /** False: a stopped task stays on its machine until `finishStops`. */
   stopsTakeEffectAtOnce = true;
   private now = 1_000_000;
@@ -182,6 +184,7 @@
       teams: this.teams,
       shardQuota: () => this.shardQuota,
       usageOnOtherShards: () => this.usedElsewhere,
+      servicesOnOtherShards: () => this.servicesElsewhere,
       guaranteed: (j: string) => this.guaranteedJobs.has(j as never),
       maxLatenessFactor: () => 1,
       peerHasCapacity: () => false,
