Quota is kept for a job only where it can come together beside the services of its team

Cause: the reservation of quota for a job that has waited for a minute did not ask whether the amount can ever be free: services do not end by themselves. Now what services use here, and what they may use on other shards (assigned there by the job records, no more than the team uses there), is taken off the team's quota first.

--- a/src/scheduling/cycle.ts
+++ b/src/scheduling/cycle.ts
@@ -21,6 +21,8 @@
   readonly shardQuota: (team: TeamId) => Resources;
   /** What the team uses on other shards, by their announcements. */
   readonly usageOnOtherShards: (team: TeamId) => Resources;
+  /** What services of the team use on other shards, at most; they do not end by themselves. */
+  readonly servicesOnOtherShards: (team: TeamId) => Resources;
   /** Does the job fit into its team's guaranteed quota together with the team's earlier unfinished jobs? */
   readonly guaranteed: (job: JobId) => boolean;
   /** Has a peer announced capacity for such a task? Then overflow is tried before preemption. */
--- a/src/scheduling/reservations.ts
+++ b/src/scheduling/reservations.ts
@@ -5,9 +5,9 @@
 import type { InstanceType } from '../cloud/wire.js';
 import type { JobSpec } from '../jobs/spec.js';
 import { mayRunOn } from '../model/constraints.js';
-import { add, dominantShare, fits, freeAsCpus, scale, type Resources } from '../model/resources.js';
+import { add, dominantShare, fits, freeAsCpus, scale, subtract, type Resources } from '../model/resources.js';
 import { requiredZone, type Machine, type ShardJob } from '../shards/model.js';
-import type { MachineId, ZoneId } from '../model/units.js';
+import type { MachineId, TeamId, ZoneId } from '../model/units.js';
 import { endReservation } from './reservation-ends.js';
 import { returnResources, takeResources, type SchedulingCycle } from './scheduling-cycle.js';
 
@@ -70,10 +70,22 @@
   const { quotaReservations } = cycle.plan;
   if (quotaReservations.has(team) || cycle.waitedWithoutStartMs(job) <= RESERVE_AFTER_MS) return;
   const needed = scale(job.spec, count);
+  if (!canComeTogether(cycle, team, needed)) return;
   quotaReservations.set(team, needed);
   cycle.addTeamUsage(team, needed);
 }
 
+/**
+ * Can the team have so much at once? Not beside its services, which do not end: quota kept for a job that can never start
+ * would keep all smaller ones of the team waiting with it.
+ */
+function canComeTogether(cycle: SchedulingCycle, team: TeamId, needed: Resources): boolean {
+  const quota = cycle.context.teams.get(team)?.quota;
+  if (!quota) return true;
+  const services = add(cycle.servicesUsage(team), cycle.context.servicesOnOtherShards(team));
+  return fits(needed, subtract(quota, services));
+}
+
 /** Reservations for gangs come and go in turns: no other job may wait for long beside capacity that is kept free. */
 function hasReservationTurn(cycle: SchedulingCycle, job: ShardJob): boolean {
   const waitedMs = cycle.waitedWithoutStartMs(job) - RESERVE_AFTER_MS;
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -11,6 +11,7 @@
 import { addTo, ZERO, type MutableResources } from '../model/resources.js';
 import type { Shard, ShardJob } from '../shards/model.js';
 import { GuaranteedJobs } from '../quota/guaranteed-jobs.js';
+import { ServiceAssignments } from '../quota/service-assignments.js';
 import type { QuotaTransferService } from '../quota/transfer-service.js';
 import type { JobId, SteadyMs, TeamId } from '../model/units.js';
 import { millis } from '../model/units.js';
@@ -44,6 +45,7 @@
   /** Jobs with tasks that the last cycle of a shard could not place. */
   private readonly unplacedJobs = new WeakMap<Shard, ReadonlySet<ShardJob>>();
   private readonly guarantees: GuaranteedJobs;
+  private readonly services = new ServiceAssignments();
   private readonly taskAllocator: TaskAllocator;
   private lastRelocationAt: SteadyMs | null = null;
   private readonly schedulingLog: SchedulingLog;
@@ -108,6 +110,7 @@
   /** The record of an active job is new or has changed; null: the job has ended. */
   onJobRecord(id: JobId, record: JobRecord | null): void {
     this.guarantees.update(id, record);
+    this.services.update(id, record);
   }
 
   /** The job has ended: stops every task of it. */
@@ -131,8 +134,9 @@
   }
 
   private createContext(shard: Shard, now: SteadyMs): SchedulingContext {
-    const { core, quotaTransfers, guarantees, runtimeEstimator } = this;
-    return createSchedulingContext({ core, quotaTransfers, guarantees, runtimeEstimator }, shard, now);
+    const { core, quotaTransfers, guarantees, services, runtimeEstimator } = this;
+    const sources = { core, quotaTransfers, guarantees, services, runtimeEstimator };
+    return createSchedulingContext(sources, shard, now);
   }
 
   /** Moves one replica while nothing waits and no task of the shard is being stopped. */
--- a/src/scheduling/scheduling-context.ts
+++ b/src/scheduling/scheduling-context.ts
@@ -5,9 +5,10 @@
 import type { Core } from '../core.js';
 import type { JobSpec } from '../jobs/spec.js';
 import { add, ZERO, type Resources } from '../model/resources.js';
-import type { SteadyMs, TeamId } from '../model/units.js';
+import type { ShardId, SteadyMs, TeamId } from '../model/units.js';
 import { taskCapacity } from '../overflow/peer-ranking.js';
 import type { GuaranteedJobs } from '../quota/guaranteed-jobs.js';
+import type { ServiceAssignments } from '../quota/service-assignments.js';
 import type { QuotaTransferService } from '../quota/transfer-service.js';
 import type { Shard } from '../shards/model.js';
 import type { SchedulingContext } from './cycle.js';
@@ -18,6 +19,7 @@
   readonly core: Core;
   readonly quotaTransfers: Pick<QuotaTransferService, 'shardQuota'>;
   readonly guarantees: Pick<GuaranteedJobs, 'has'>;
+  readonly services: Pick<ServiceAssignments, 'usageOutside'>;
   readonly runtimeEstimator: Pick<RuntimeEstimator, 'correctionFactor'>;
 }
 
@@ -37,14 +39,19 @@
   shard: Shard,
   now: SteadyMs,
 ): SchedulingContext {
-  const { core, quotaTransfers, guarantees, runtimeEstimator } = sources;
+  const { core, quotaTransfers, guarantees, services, runtimeEstimator } = sources;
   const usageElsewhere = usageOnOtherShards(core, shard);
+  const usedOn =
+    (team: TeamId) =>
+    (other: ShardId): Resources =>
+      usageByTeamOn(core, other)?.get(team) ?? ZERO;
   return {
     now,
     types: core.types,
     teams: core.settings.teams,
     shardQuota: (team) => quotaTransfers.shardQuota(shard.id, team),
     usageOnOtherShards: (team) => usageElsewhere.get(team) ?? ZERO,
+    servicesOnOtherShards: (team) => services.usageOutside(team, shard.id, usedOn(team)),
     guaranteed: memoize((job) => guarantees.has(job)),
     peerHasCapacity: (spec) => peerHasCapacity(core, shard, spec, now),
     maxLatenessFactor: (jobClass) => core.settings.deadlineFactorByClass.get(jobClass) ?? 1,
@@ -54,14 +61,17 @@
   };
 }
 
-/** What each team uses on the other shards: from memory for those led here, else by their announcements. */
+/** What each team uses on a shard: from memory if it is led here, else by its announcement. */
+const usageByTeamOn = (core: Core, shard: ShardId): ReadonlyMap<TeamId, Resources> | undefined =>
+  core.shards.get(shard)?.totals.usageByTeam ?? core.shardAnnouncements.get(shard)?.usage;
+
+/** What each team uses on the other shards. */
 function usageOnOtherShards(core: Core, shard: Shard): Map<TeamId, Resources> {
   const usage = new Map<TeamId, Resources>();
   for (const { shard: shardId } of core.settings.shards) {
     if (shardId === shard.id) continue;
-    const used =
-      core.shards.get(shardId)?.totals.usageByTeam ?? core.shardAnnouncements.get(shardId)?.usage ?? [];
-    for (const [team, amount] of used) usage.set(team, add(usage.get(team) ?? ZERO, amount));
+    for (const [team, amount] of usageByTeamOn(core, shardId) ?? [])
+      usage.set(team, add(usage.get(team) ?? ZERO, amount));
   }
   return usage;
 }
--- a/src/scheduling/scheduling-cycle.ts
+++ b/src/scheduling/scheduling-cycle.ts
@@ -7,6 +7,7 @@
   add,
   addTo,
   fits,
+  scale,
   subtract,
   ZERO,
   type MutableResources,
@@ -52,6 +53,7 @@
   private readonly usage: Map<TeamId, Resources>;
   /** Used by tasks whose team is not known. */
   private readonly unattributedUsage: Resources;
+  private usageByServices: ReadonlyMap<TeamId, Resources> | null = null;
   private readonly usageBeingStopped = new Map<TeamId, Resources>();
 
   constructor(
@@ -99,6 +101,12 @@
     return this.usage.get(team) ?? ZERO;
   }
 
+  /** What services of the team use on this shard, those being stopped left out. Counted on the first question. */
+  servicesUsage(team: TeamId): Resources {
+    this.usageByServices ??= usageOfServices(this.shard);
+    return this.usageByServices.get(team) ?? ZERO;
+  }
+
   /** Sets the team's usage back to an earlier value. */
   restoreTeamUsage(team: TeamId, usage: Resources): void {
     this.usage.set(team, usage);
@@ -165,6 +173,18 @@
   }
 }
 
+/** One pass over the jobs with tasks on machines. */
+function usageOfServices(shard: Shard): Map<TeamId, Resources> {
+  const usage = new Map<TeamId, Resources>();
+  for (const [id, allocations] of shard.allocationsByJob) {
+    const spec = shard.jobs.get(id)?.spec;
+    if (spec?.kind !== 'service') continue;
+    const running = [...allocations].filter((allocation) => !allocation.stop).length;
+    usage.set(spec.team, add(usage.get(spec.team) ?? ZERO, scale(spec, running)));
+  }
+  return usage;
+}
+
 type FreeResourcesByMachine = Map<MachineId, MutableResources>;
 
 const copyFreeResources = (freeResourcesByMachine: FreeResourcesByMachine): FreeResourcesByMachine =>
--- a/src/shards/statistics.ts
+++ b/src/shards/statistics.ts
@@ -34,8 +34,8 @@
   readonly usage: Resources;
   /** What the team may use on this shard. */
   readonly shardQuota: Resources;
-  /** Of the shard quota, what is kept for one job that has waited too long; other jobs of the team cannot use it. */
-  readonly reservedQuota: Resources;
+  /** Of the shard quota, what is kept for one job that has waited too long; other jobs of the team cannot use it. Absent: none. */
+  readonly reservedQuota?: Resources;
   readonly waiting: Resources;
 }
 
@@ -90,11 +90,12 @@
 ): Record<string, TeamStatistics> {
   const teams: Record<string, TeamStatistics> = {};
   for (const [team, waiting] of waitingTotals) {
+    const reserved = shard.quotaReservations.get(team);
     teams[team] = {
       usage: rounded(shard.totals.usageByTeam.get(team) ?? ZERO),
       shardQuota: rounded(shardQuota(team)),
-      reservedQuota: rounded(shard.quotaReservations.get(team) ?? ZERO),
       waiting: rounded(waiting),
+      ...(reserved ? { reservedQuota: rounded(reserved) } : {}),
     };
   }
   return teams;
