A gang that is larger than its shard does not hide the shard's free capacity from peers

Cause: what a shard announces is less what its waiting tasks will take, counted one by one, also of a gang that needs more than all machines of the shard have. Now such a gang takes nothing, unless machines are reserved for it.

A first form left out every gang without room for all members now. So a gang that only waits for work to end still hides what it will use.

--- a/src/overflow/announcement.ts
+++ b/src/overflow/announcement.ts
@@ -1,7 +1,7 @@
 /** Composes the capacity announcements of a controller, and applies those of its peers to `Core`. */
 import type { Core } from '../core.js';
 import { activeJobKey } from '../jobs/codec.js';
-import { add, addTo, ZERO, type MutableResources, type Resources } from '../model/resources.js';
+import { add, addTo, fits, scale, ZERO, type MutableResources, type Resources } from '../model/resources.js';
 import { decodePeerMessage } from '../peers/codec.js';
 import type {
   CachedImages,
@@ -13,7 +13,7 @@
   ShardCapacity,
 } from '../peers/messages.js';
 import { isSchedulable } from '../shards/machine-health.js';
-import { freeResources, waitingByZone, type Machine, type Shard } from '../shards/model.js';
+import { freeResources, waitingByZone, type Machine, type Shard, type ShardJob } from '../shards/model.js';
 import type { ImageId, JobId, MachineId, ShardId, SteadyMs, TeamId, ZoneId } from '../model/units.js';
 import { plus } from '../model/units.js';
 import type { FreeCapacity } from '../peers/free-capacity.js';
@@ -45,15 +45,34 @@
     expiresAt: plus(now, core.tuning.announcementExpiry),
     machines: [...shapes.values()],
   };
+  const capacity = capacityAtMost(shard, freeCapacity);
   // Jobs that wait for quota take no capacity meanwhile, and neither do jobs in back-off; a task takes some only in its
   // required zone.
   for (const job of shard.queue) {
     if (shard.teamsBlockedByQuota.has(job.spec.team) || now < job.backoffUntil) continue;
+    if (isOversizedGang(job, capacity)) continue;
     for (const [zone, count] of waitingByZone(job)) reserveCapacity(freeCapacity, job.spec, zone, count);
   }
   return freeCapacity;
 }
 
+/** What all machines of the shard have, at most: what is free, and what tasks use or may be using. */
+function capacityAtMost(shard: Shard, { machines }: FreeCapacity): Resources {
+  const capacity: MutableResources = { ...shard.totals.unaccountedCapacity(shard.types) };
+  for (const shape of machines) addTo(capacity, shape, shape.count);
+  for (const usage of shard.totals.usageByTeam.values()) addTo(capacity, usage);
+  return capacity;
+}
+
+/**
+ * All members of a gang start at once: one that is larger than the shard takes nothing of it as it is, unless machines are
+ * reserved for it. One that only waits for room to become free does: smaller tasks would take each piece before it.
+ */
+function isOversizedGang(job: ShardJob, capacity: Resources): boolean {
+  if (!job.gangHistory || job.reservations.size > 0) return false;
+  return !fits(scale(job.spec, job.waiting.size), capacity);
+}
+
 /** By image: what critical tasks could use at once on machines that hold it, by preemption if need be. */
 export function capacityByImage(core: Core, shard: Shard): Map<ImageId, Resources> {
   const capacities = new Map<ImageId, Resources>();
--- a/test/overflow/announced-capacity.test.ts
+++ b/test/overflow/announced-capacity.test.ts
@@ -38,16 +38,20 @@
   return runner;
 }
 
-test('a gang that does not fit as a whole does not hide free capacity from peers', () => {
+test('a gang that is larger than the shard does not hide free capacity from peers', () => {
   const runner = idleMachine();
   runner.addJob('req-gang', { ...GANG, tasks: 8 });
   assert.equal(announcedTasks(runner), 4);
 });
 
-test('a gang that fits, or for which machines are reserved, hides what it will use', () => {
+test('a gang that fits once work has ended, or for which machines are reserved, hides what it will use', () => {
   const fitting = idleMachine();
   fitting.addJob('req-gang', { ...GANG, tasks: 3 });
   assert.equal(announcedTasks(fitting), 1);
+  const waitsForWork = idleMachine();
+  waitsForWork.addRunningTask('req-a', 'm-0', { cpus: 4 });
+  waitsForWork.addJob('req-gang', { ...GANG, tasks: 4 });
+  assert.equal(announcedTasks(waitsForWork), 0);
   const reserved = idleMachine();
   reserved.addJob('req-gang', { ...GANG, tasks: 8 });
   reserved.shard.jobs.get('req-gang' as never)?.reservations.set(0, {
