--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -7,6 +7,7 @@
 import type { Autoscaler } from '../autoscaling/autoscaler.js';
 import { MachineTransferService } from '../overflow/machine-transfer.js';
 import { TaskTransferService } from '../overflow/task-transfer.js';
+import { MisassignedJobs } from '../jobs/misassigned-jobs.js';
 import type { JobRecord } from '../jobs/record.js';
 import { addTo, ZERO, type MutableResources } from '../model/resources.js';
 import type { Shard, ShardJob } from '../shards/model.js';
@@ -46,6 +47,7 @@
   private readonly unplacedJobs = new WeakMap<Shard, ReadonlySet<ShardJob>>();
   private readonly guarantees: GuaranteedJobs;
   private readonly services = new ServiceAssignments();
+  private readonly misassignedJobs: MisassignedJobs;
   private readonly taskAllocator: TaskAllocator;
   private lastRelocationAt: SteadyMs | null = null;
   private readonly schedulingLog: SchedulingLog;
@@ -62,6 +64,7 @@
     this.taskTransfers = new TaskTransferService(core);
     this.machineTransfers = new MachineTransferService(core);
     this.guarantees = new GuaranteedJobs(core.settings.teams);
+    this.misassignedJobs = new MisassignedJobs(core.settings, core.log);
     this.taskAllocator = new TaskAllocator(core, runtimeEstimator);
     this.schedulingLog = new SchedulingLog(core.log);
   }
@@ -111,6 +114,7 @@
   onJobRecord(id: JobId, record: JobRecord | null): void {
     this.guarantees.update(id, record);
     this.services.update(id, record);
+    this.misassignedJobs.update(id, record);
   }
 
   /** The job has ended: stops every task of it. */
@@ -127,7 +131,10 @@
     this.applyPlan(shard, plan, now);
     if (plan.starts.length + plan.stops.length + plan.unplaced.length === 0) this.consolidate(shard, context);
     this.workers.dispatchCommands(shard);
-    this.taskTransfers.transferUnplaced(shard, plan.unplaced);
+    this.taskTransfers.transferUnplaced(
+      shard,
+      plan.unplaced.filter(({ job }) => !this.misassignedJobs.has(job.id)),
+    );
     this.requestQuota(shard, plan.unplaced);
     if (plan.oversizedGang) this.machineTransfers.request(shard, plan.oversizedGang);
     this.autoscaler.updateDemand(shard, plan.unplaced, now);
