--- a/test/overflow/announced-capacity.test.ts
+++ b/test/overflow/announced-capacity.test.ts
@@ -62,3 +62,10 @@
   });
   assert.equal(announcedTasks(reserved), 0);
 });
+
+test('nor does one that would fit if critical work, which nothing can be stopped for, were gone', () => {
+  const runner = idleMachine();
+  runner.addRunningTask('req-web', 'm-0', { kind: 'service', priority: 0, cpus: 6 });
+  runner.addJob('req-gang', { ...GANG, tasks: 4 });
+  assert.equal(announcedTasks(runner), 1);
+});
