Critical work counts not as what a waiting gang will use once it has ended

Cause: what may become free in a shard was taken as all that its tasks use; critical tasks do not make room. A running total of the others stands beside those of the teams.

--- a/src/overflow/announcement.ts
+++ b/src/overflow/announcement.ts
@@ -45,7 +45,7 @@
     expiresAt: plus(now, core.tuning.announcementExpiry),
     machines: [...shapes.values()],
   };
-  const capacity = capacityAtMost(shard, freeCapacity);
+  const capacity = freeAtMost(shard, freeCapacity);
   // Jobs that wait for quota take no capacity meanwhile, and neither do jobs in back-off; a task takes some only in its
   // required zone.
   for (const job of shard.queue) {
@@ -56,17 +56,17 @@
   return freeCapacity;
 }
 
-/** What all machines of the shard have, at most: what is free, and what tasks use or may be using. */
-function capacityAtMost(shard: Shard, { machines }: FreeCapacity): Resources {
+/** What may become free in the shard, at most: what is, what tasks use that are not critical, and what may be in use. */
+function freeAtMost(shard: Shard, { machines }: FreeCapacity): Resources {
   const capacity: MutableResources = { ...shard.totals.unaccountedCapacity(shard.types) };
   for (const shape of machines) addTo(capacity, shape, shape.count);
-  for (const usage of shard.totals.usageByTeam.values()) addTo(capacity, usage);
+  addTo(capacity, shard.totals.preemptibleUsage);
   return capacity;
 }
 
 /**
- * All members of a gang start at once: one that is larger than the shard takes nothing of it as it is, unless machines are
- * reserved for it. One that only waits for room to become free does: smaller tasks would take each piece before it.
+ * All members of a gang start at once: one that needs more than may become free takes nothing meanwhile, unless machines
+ * are reserved for it. One that only waits for room to become free does: smaller tasks would take each piece before it.
  */
 function isOversizedGang(job: ShardJob, capacity: Resources): boolean {
   if (!job.gangHistory || job.reservations.size > 0) return false;
--- a/src/shards/totals.ts
+++ b/src/shards/totals.ts
@@ -17,7 +17,7 @@
   type ResourceKind,
   type Resources,
 } from '../model/resources.js';
-import type { JobSpec } from '../jobs/spec.js';
+import { Priority, type JobSpec } from '../jobs/spec.js';
 import type { ImageId, TeamId, InstanceTypeId } from '../model/units.js';
 import { hasUnknownUsage, freeResources, type Machine } from './machine.js';
 
@@ -54,16 +54,26 @@
   }
 }
 
-/** What a team's tasks take, and how many there are. */
-interface TeamUsage extends MutableResources {
+/** What some tasks take, and how many there are. */
+interface TaskTotal extends MutableResources {
   tasks: number;
 }
 
+/** Without any task the total is exactly nothing: sums of fractions drift. */
+function countIn(total: TaskTotal, spec: JobSpec, sign: 1 | -1): void {
+  total.tasks += sign;
+  if (total.tasks === 0) clear(total);
+  else addTo(total, spec, sign);
+}
+
 /** The totals of one shard. Only the functions of this folder change them. */
 export class ShardTotals {
-  private readonly teams = new Map<TeamId, TeamUsage>();
+  private readonly teams = new Map<TeamId, TaskTotal>();
   /** What the allocations of each team take, on all machines of the shard. */
   readonly usageByTeam: ReadonlyMap<TeamId, Resources> = this.teams;
+  private readonly preemptible: TaskTotal = { ...ZERO, tasks: 0 };
+  /** What all allocations take that are not critical. */
+  readonly preemptibleUsage: Resources = this.preemptible;
   private readonly unaccountedByType = new Map<InstanceTypeId, number>();
   private readonly machinesByImage = new Map<ImageId, Set<Machine>>();
   private readonly free: Readonly<Record<ResourceKind, FreeCapacityIndex>> = {
@@ -96,10 +106,9 @@
   /** Counts a task of this size for its team, more (1) or less (-1). */
   countTask(spec: JobSpec, sign: 1 | -1): void {
     const team = this.teams.get(spec.team) ?? { ...ZERO, tasks: 0 };
-    team.tasks += sign;
-    if (team.tasks === 0) clear(team);
-    else addTo(team, spec, sign);
+    countIn(team, spec, sign);
     this.teams.set(spec.team, team);
+    if (spec.priority !== Priority.critical) countIn(this.preemptible, spec, sign);
   }
 
   /** The machine holds the image from now on, or does not. */
