--- /dev/null
+++ b/src/simulation/startable-jobs.ts
@@ -0,0 +1,70 @@
+/** Which jobs could start by what is free on the machines and left of their team's quota, as seen from outside. */
+import { EPSILON, jobIdOf, type JobObservation, type MachineView, type TeamQuota } from './rules.js';
+import type { UserJob } from './user-jobs.js';
+
+/** What the judgement reads beside the job and the machines. */
+interface Cluster {
+  readonly jobs: ReadonlyMap<string, JobObservation>;
+  readonly teams: readonly TeamQuota[];
+}
+
+/** Is there quota for a task of the job, or for all tasks of a gang? */
+function fitsTeamQuota(
+  record: JobObservation,
+  machines: readonly MachineView[],
+  { jobs, teams }: Cluster,
+): boolean {
+  const { job } = record;
+  const limit = teams.find((t) => t.name === job.team);
+  // What a gang holds itself is among its tasks already.
+  const tasks = job.shape === 'gang' ? job.tasks : 1;
+  let cpus = job.cpus * tasks;
+  let gpus = job.gpus * tasks;
+  for (const task of machines.flatMap((m) => m.occupyingTasks)) {
+    const other = jobs.get(jobIdOf(task))?.job;
+    if (other?.team !== job.team || other === job) continue;
+    cpus += other.cpus;
+    gpus += other.gpus;
+  }
+  const under = (used: number, most: number): boolean => most === 0 || used <= most + EPSILON;
+  return limit !== undefined && under(cpus, limit.cpusMax) && under(gpus, limit.gpusMax);
+}
+
+/** Could a task of the job, or the whole gang, start now? Nothing of the job is on any machine. */
+export function isStartable(
+  record: JobObservation,
+  machines: readonly MachineView[],
+  cluster: Cluster,
+): boolean {
+  const { job } = record;
+  if (!fitsTeamQuota(record, machines, cluster)) return false;
+  if (job.shape === 'gang') return !record.gangRunning && gangFits(job, machines);
+  const held = machines.some((m) => m.occupyingTasks.some((t) => jobIdOf(t) === job.id));
+  return !held && record.machineByTask.size === 0 && machines.some((m) => slotsOn(m, job) > 0);
+}
+
+/** How many tasks of the job the machine has room for, those of the job that are there already included. */
+function slotsOn(machine: MachineView, job: UserJob): number {
+  const { spec, free } = machine;
+  if (job.types && !job.types.includes(spec.type)) return 0;
+  if (job.zone !== null && job.zone !== spec.zone) return 0;
+  if (spec.spot && !job.spot) return 0;
+  const fit = (has: number, needs: number): number =>
+    needs > 0 ? Math.floor(has / needs + EPSILON) : Infinity;
+  const more = Math.min(fit(free.cpus, job.cpus), fit(free.gpus, job.gpus), fit(free.memoryGb, job.memoryGb));
+  return more + machine.occupyingTasks.filter((t) => jobIdOf(t) === job.id).length;
+}
+
+/** Room for all tasks of a gang, in one zone if it asks for that, spread over zones if it asks for that. */
+function gangFits(job: UserJob, machines: readonly MachineView[]): boolean {
+  const byZone = new Map<string, number>();
+  for (const machine of machines)
+    byZone.set(
+      machine.spec.zone,
+      (byZone.get(machine.spec.zone) ?? 0) + Math.min(job.tasks, slotsOn(machine, job)),
+    );
+  const zones = [...byZone.values()];
+  if (job.sameZone) return zones.some((slots) => slots >= job.tasks);
+  const most = job.spread ? Math.ceil(job.tasks / 2) : job.tasks;
+  return zones.reduce((sum, slots) => sum + Math.min(most, slots), 0) >= job.tasks;
+}
