One 'any machine' for searches, in place of three

The predicate that leaves no machine out stood in the search for candidates, in preemption and in the precedence of reservations.

--- a/src/scheduling/candidates.ts
+++ b/src/scheduling/candidates.ts
@@ -126,12 +126,15 @@
   }
 }
 
+/** No machine is left out. */
+export const anyMachine = (): boolean => true;
+
 /** Where tasks of a job that this zone is required for may start; null: any zone. */
 export function candidatesFor(
   cycle: SchedulingCycle,
   job: ShardJob,
   zone: ZoneId | null,
-  mayUse: (machine: Machine) => boolean = () => true,
+  mayUse: (machine: Machine) => boolean = anyMachine,
 ): CandidateMachines {
   const freeOn = (machine: Machine): Resources | null =>
     mayRunOn(job.spec, machine.type, machine.zone, machine.spot, zone) && mayUse(machine)
--- a/src/scheduling/preemption.ts
+++ b/src/scheduling/preemption.ts
@@ -6,7 +6,7 @@
 import { add, fits, isZero, type Resources } from '../model/resources.js';
 import type { Allocation, Machine, ShardJob } from '../shards/model.js';
 import { millis, plus, type ZoneId } from '../model/units.js';
-import { isCrowded } from './candidates.js';
+import { anyMachine, isCrowded } from './candidates.js';
 import { mayRunOn } from '../model/constraints.js';
 import { deadlineAt } from './deadlines.js';
 import {
@@ -36,9 +36,6 @@
 /** Where preemption may happen. */
 export type PreemptionScope = 'any machine' | 'machines with the image';
 
-/** No machine is left out. */
-export const anyMachine = (): boolean => true;
-
 /** Which machines a search looks at. */
 interface PreemptionTarget {
   readonly zone: ZoneId | null;
--- a/src/scheduling/reservation-precedence.ts
+++ b/src/scheduling/reservation-precedence.ts
@@ -5,6 +5,7 @@
  */
 import { add, fits, ZERO, type Resources } from '../model/resources.js';
 import type { Machine, ShardJob } from '../shards/model.js';
+import { anyMachine } from './candidates.js';
 import { wouldBePreemptible, type Preemptor } from './preemption-eligibility.js';
 import type { SchedulingCycle } from './scheduling-cycle.js';
 
@@ -25,7 +26,7 @@
   cycle: SchedulingCycle,
   job: ShardJob,
   index: number,
-  mayUse: (machine: Machine) => boolean = () => true,
+  mayUse: (machine: Machine) => boolean = anyMachine,
 ): Machine | null {
   const reservation = job.reservations.get(index);
   if (!reservation || reservation.withoutPreemption) return null;
