--- a/review/2/test.mjs
+++ b/review/2/test.mjs
@@ -111,13 +111,13 @@
   (cluster.state.entries.get(`c/live/${uid}`)?.data.parts ?? []).map((part) => part[2]);
 
 /**
- * Submits a service at the second controller while only the machine of the first one has room, so that it is assigned
- * to the first one's shard. Tried again, with another job, if it was assigned otherwise.
+ * Submits a service at the first controller while only its own machine has room, so that it is assigned to its shard.
+ * Tried again, with another job, if it was assigned otherwise.
  */
 async function submitService(name, fields) {
-  for (let attempt = 0; attempt < 10; attempt += 1) {
+  for (let attempt = 0; attempt < 8; attempt += 1) {
     const uid = `${name}${attempt}`;
-    await accept(uid, 1, { ...SERVICE, ...fields });
+    await accept(uid, 0, { ...SERVICE, ...fields });
     record(`${uid} is assigned to shard ${shardsOf(uid).join()}`);
     if (shardsOf(uid).join() === '0') return uid;
     await abort(cluster, uid, nodes);
--- a/review/lib/cloud.mjs
+++ b/review/lib/cloud.mjs
@@ -2,6 +2,9 @@
 import { performance } from 'node:perf_hooks';
 import { serve } from './wire.mjs';
 
+/** How long a machine that has died is listed as running. */
+const LISTED_AS_RUNNING_MS = 30_000;
+
 /** Rents no machines beyond those that it has at the start. */
 export class Cloud {
   machines = new Map();
@@ -18,6 +21,11 @@
     this.machines.set(machine.name, { ...machine, rentedAt: performance.now() - 600_000 });
   }
 
+  /** Records that a machine has stopped on its own. */
+  markDead(name) {
+    this.machines.get(name).diedAt = performance.now();
+  }
+
   async listen(port) {
     this.servers.push(await serve(port, (request) => this.handle(request)));
   }
@@ -50,9 +58,10 @@
     const now = performance.now();
     const names = [...this.machines.keys()].filter((name) => name > from).sort();
     const berths = names.map((name) => {
-      const { endpoint, type, zone, spot, rentedAt } = this.machines.get(name);
+      const { endpoint, type, zone, spot, rentedAt, diedAt } = this.machines.get(name);
       const ageS = (now - rentedAt) / 1000;
-      return { uid: name, endpoint, hull: type, harbor: zone, driftboats: spot, status: 'running', ageS };
+      const status = diedAt !== undefined && now - diedAt > LISTED_AS_RUNNING_MS ? 'failed' : 'running';
+      return { uid: name, endpoint, hull: type, harbor: zone, driftboats: spot, status, ageS };
     });
     return { status: 200, body: { berths, hasNext: false } };
   }
--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -2,11 +2,14 @@
 import { clearTimeout, setTimeout } from 'node:timers';
 import { performance } from 'node:perf_hooks';
 import { Buffer } from 'node:buffer';
+import { gather } from './gang.mjs';
 import { call, HOST, pause, serve } from './wire.mjs';
 
 const MIN_REPORT_MS = 500;
 const REPORT_TIMEOUT_MS = 4000;
 const RETRY_MS = 1000;
+/** "A request body is at most 64 KiB": a larger report cannot be sent. */
+const MAX_BODY_BYTES = 65_536;
 
 /** One machine with its worker. */
 export class Worker {
@@ -20,9 +23,6 @@
   changed = false;
   wake = () => undefined;
   servers = [];
-  /** Whether reports reach no controller; whether answers and orders do not reach the machine. */
-  mute = false;
-  deaf = false;
   lastReportBytes = 0;
   /** How many replicas of services ended with a lease. */
   killed = 0;
@@ -77,7 +77,7 @@
   }
 
   handle({ method, url, body }) {
-    if (this.stopped || this.deaf) return null;
+    if (this.stopped) return null;
     if (method === 'GET' && url.pathname === '/status') return { status: 200, body: this.status() };
     if (method !== 'POST' || url.pathname !== '/orders') return { status: 404, body: {} };
     if (!Number.isInteger(body?.helm) || !Number.isInteger(body?.watch))
@@ -124,18 +124,13 @@
     const node = this.nodes[this.target];
     const body = this.status();
     this.lastReportBytes = Buffer.byteLength(JSON.stringify(body));
-    if (this.mute) {
-      await pause(REPORT_TIMEOUT_MS);
-      this.tryNext();
-      return performance.now() - sentAt + RETRY_MS;
+    if (this.lastReportBytes > MAX_BODY_BYTES) {
+      if (this.oversized !== watch) this.record(`${this.name}: a report of ${this.lastReportBytes} bytes`);
+      this.oversized = watch;
+      return 0;
     }
     const answer = await call(node.port, 'POST', '/agent/beat', body, REPORT_TIMEOUT_MS);
     if (this.stopped) return 0;
-    if (this.deaf) {
-      await pause(Math.max(0, sentAt + REPORT_TIMEOUT_MS - performance.now()));
-      this.tryNext();
-      return performance.now() - sentAt + RETRY_MS;
-    }
     if (answer.status === 200) {
       if (watch === this.watch && (answer.body?.helm ?? -1) >= this.helm) {
         this.seeToken(answer.body.helm);
@@ -196,7 +191,8 @@
     if (!job) {
       started.status = 'exited';
       started.cause = 'unknown';
-    } else {
+    } else if (job.shape === 'gang') gather(this, started);
+    else {
       started.status = 'running';
       this.onTask('start', this, started, '');
       const done = this.results.has(leg);
@@ -212,6 +208,17 @@
     this.change();
   }
 
+  /** The machine stops with all that is on it: it sends nothing and answers nothing from now on. */
+  die() {
+    this.stopped = true;
+    this.record(`${this.name}: stops with all that is on it`);
+    for (const task of this.legs.values()) {
+      clearTimeout(task.timer);
+      if (task.status !== 'exited') this.onTask('end', this, task, 'machine gone');
+    }
+    this.legs.clear();
+  }
+
   exit(task, cause) {
     if (task.status === 'exited' || this.legs.get(task.leg) !== task) return;
     clearTimeout(task.timer);
