--- a/review/lib/cluster.mjs
+++ b/review/lib/cluster.mjs
@@ -3,6 +3,7 @@
 import {
   appendFileSync,
   closeSync,
+  existsSync,
   mkdtempSync,
   openSync,
   readFileSync,
@@ -21,6 +22,7 @@
 import { Worker } from './worker.mjs';
 
 const ROOT = new URL('../../', import.meta.url);
+const PRODUCTION_PROGRAM = new URL('target/production/src/main.js', ROOT);
 
 /** Returns the program and arguments of the deploy file's `run` command. */
 function runCommand() {
@@ -102,8 +104,7 @@
       this.nodes.push({ name, port, peerPort, statePort, child: null, ends: 0 });
       await this.state.listen(name, statePort);
     }
-    for (const node of this.nodes)
-      writeFileSync(this.settingsFile(node), settingsText(deployment, this.nodes, node, cloudPort));
+    this.writeSettings(cloudPort);
     for (let index = 0; index < machineCount; index += 1) {
       const name = `m-${String(index).padStart(6, '0')}`;
       const port = workerPorts[index];
@@ -124,21 +125,36 @@
     }
   }
 
-  settingsFile(node) {
-    return join(this.folder, `${node.name}.toml`);
+  writeSettings(cloudPort) {
+    const { deployment, nodes } = this;
+    const earlier = { ...deployment, state: { ...deployment.state, next: undefined } };
+    for (const node of nodes) {
+      writeFileSync(this.settingsFile(node), settingsText(deployment, nodes, node, cloudPort));
+      writeFileSync(this.settingsFile(node, '-earlier'), settingsText(earlier, nodes, node, cloudPort));
+    }
+  }
+
+  /** The file with the ending `-earlier` has no later limits. */
+  settingsFile(node, ending = '') {
+    return join(this.folder, `${node.name}${ending}.toml`);
   }
 
   /**
    * Starts a controller with the command of the deploy file; `version` is `production` for the version in production,
-   * which `review/build.sh` builds.
+   * which `review/build.sh` builds. It does not know the later limits of the state service. If it could not be built, the
+   * current version is started with settings that do not name these limits.
    */
   startNode(node, version = 'current') {
+    const isBuilt = existsSync(PRODUCTION_PROGRAM);
     const [program, ...args] = runCommand().map((part) =>
-      version === 'production' ? part.replace('target/src/', 'target/production/src/') : part,
+      version === 'production' && isBuilt ? part.replace('target/src/', 'target/production/src/') : part,
     );
+    const settingsFile = this.settingsFile(node, version === 'production' && !isBuilt ? '-earlier' : '');
+    if (version === 'production' && !isBuilt)
+      this.record(`${node.name}: the version in production is not built`);
     const log = openSync(join(this.folder, `${node.name}.log`), 'a');
     const env = { ...process.env, LOG_LEVEL: process.env.REVIEW_LOG ?? 'info' };
-    const child = spawn(program, [...args, this.settingsFile(node)], {
+    const child = spawn(program, [...args, settingsFile], {
       cwd: ROOT,
       stdio: ['ignore', 'ignore', log],
       env,
