Logs say why a shard is acquired, and what becomes of the membership keys

Cause: while leadership of a shard changed hands hundreds of times, the logs showed each acquisition but not its reason, nothing of the membership lease and key, and nothing of what a controller's watch shows of them. A key that is gone, a key that the watch does not show, a lease that is not renewed and a decision that ignores the key look the same.

Change: `acquire leadership` has its reason and the facts of the decision; `membership lease granted`, `membership lease expired`, `write membership key` and `membership changed` follow a key; `controller statistics` counts how often a process acquired, lost and released a shard. No decision changes.

--- a/src/controller/periodic-work.ts
+++ b/src/controller/periodic-work.ts
@@ -34,7 +34,7 @@
 
 /** The components with periodic work. */
 export interface PeriodicServices {
-  readonly leadership: Pick<ShardLeadership, 'tick'>;
+  readonly leadership: Pick<ShardLeadership, 'tick' | 'eventCounts'>;
   readonly progress: Pick<ProgressWriter, 'tick'>;
   readonly clusterClockWriter: Pick<ClusterClockWriter, 'tick'>;
   readonly autoscaler: Pick<Autoscaler, 'scaleOutShards' | 'scaleInShards'>;
@@ -91,6 +91,7 @@
         completeUpTo,
         cacheAgeMs: now - confirmedAt,
         refusedHeartbeats: services.workers.heartbeatRefusals(),
+        leadership: services.leadership.eventCounts(),
         scheduling: services.scheduler.eventCounts(),
         violations: context.invariants.violations.snapshot(),
       },
--- a/src/controller/store-changes.ts
+++ b/src/controller/store-changes.ts
@@ -11,6 +11,7 @@
 import {
   ALIVE_PREFIX,
   decodeMachineRecord,
+  decodeMembership,
   MACHINES_PREFIX,
   SHARDS_PREFIX,
   TIME_KEY,
@@ -48,7 +49,7 @@
     if (key.startsWith(ACTIVE_JOBS_PREFIX)) this.onJobRecord(key, value, version);
     else if (key.startsWith(SHARDS_PREFIX)) listeners.leadership.onShardRecord(key, value, version);
     else if (key.startsWith(MACHINES_PREFIX)) this.onMachineRecord(key, value, version);
-    else if (key.startsWith(ALIVE_PREFIX)) divideStoreLimits(context);
+    else if (key.startsWith(ALIVE_PREFIX)) this.onMembership(key, value, version);
     else if (key === TIME_KEY) context.clusterClock.advanceTo(decodeClusterTime(value), context.clock.now());
     context.requestCycle();
   }
@@ -69,6 +70,13 @@
     }
   }
 
+  private onMembership(key: string, value: unknown, version: Revision): void {
+    const controller = key.slice(ALIVE_PREFIX.length);
+    const incarnation = value === undefined ? null : decodeMembership(value);
+    this.context.log.info({ controller, incarnation, version }, 'membership changed');
+    divideStoreLimits(this.context);
+  }
+
   private onMachineRecord(key: string, value: unknown, version: Revision): void {
     const id = key.slice(MACHINES_PREFIX.length) as MachineId;
     const record = value === undefined ? null : decodeMachineRecord(value);
--- a/src/leadership/failover.ts
+++ b/src/leadership/failover.ts
@@ -66,7 +66,9 @@
 const isHomeShard = (facts: FailoverFacts): boolean => facts.homeController === facts.self;
 const isNeverLed = (facts: FailoverFacts): boolean => facts.leader === undefined;
 const isReleased = (facts: FailoverFacts): boolean => facts.leader === null;
-const membershipAgeMs = (facts: FailoverFacts): number =>
+
+/** Returns for how many milliseconds this controller has held its membership; 0 if its lease may be out of date. */
+export const membershipAgeMs = (facts: FailoverFacts): number =>
   facts.membershipStableSince === null ? 0 : facts.now - facts.membershipStableSince;
 
 /** Ordered rules: the first rule that applies decides. */
--- a/src/leadership/leadership-transactions.ts
+++ b/src/leadership/leadership-transactions.ts
@@ -19,6 +19,7 @@
 import type { CompareAndSwapResult } from '../store/client.js';
 import { RequestPriority } from '../store/rate-limiter.js';
 import type { Change, Condition } from '../store/wire.js';
+import type { AcquisitionReason } from './acquisition-reason.js';
 
 /** The part of the controller that `cacheState` reads. */
 export interface CacheStateContext {
@@ -57,7 +58,7 @@
   constructor(private readonly context: LeadershipTransactionContext) {}
 
   /** Makes this process the leader under the next fencing token. Returns whether it certainly succeeded. */
-  async acquire(shard: ShardId): Promise<boolean> {
+  async acquire(shard: ShardId, reason: AcquisitionReason): Promise<boolean> {
     const { context } = this;
     const { settings, storeCache, incarnation } = context;
     const lastToken = storeCache.get(TOKEN_KEY)?.value;
@@ -81,7 +82,7 @@
     );
     const revision = result.kind === 'done' ? result.revision : null;
     const outcome = { shard, fencingToken: nextToken, result: result.kind, revision };
-    context.log.info({ ...outcome, ...cacheState(context) }, 'acquire leadership');
+    context.log.info({ ...outcome, ...reason, ...cacheState(context) }, 'acquire leadership');
     return result.kind === 'done';
   }
 
--- a/src/leadership/leadership.ts
+++ b/src/leadership/leadership.ts
@@ -5,11 +5,13 @@
  * fencing token, and a late copy of an earlier request fails its conditions.
  */
 import type { Settings, Tuning } from '../settings/settings.js';
+import { CounterSet } from '../logging/counter-set.js';
 import { decodeShardRecord, shardKey, SHARDS_PREFIX, type ShardRecord } from '../shards/codec.js';
 import type { Shard } from '../shards/model.js';
 import type { StoreCache } from '../store/cache.js';
 import type { ControllerId, FencingToken, Incarnation, Revision, ShardId, SteadyMs } from '../model/units.js';
 import { millis, shardId } from '../model/units.js';
+import { failoverReason, type AcquisitionReason } from './acquisition-reason.js';
 import { decideFailover, type FailoverFacts } from './failover.js';
 import {
   cacheState,
@@ -61,6 +63,7 @@
   private readonly releasedShards = new Set<ShardId>();
   /** Shards with a store request or a probe in progress; at most one at a time for each shard. */
   private readonly shardsInTransition = new Set<ShardId>();
+  private readonly events = new CounterSet<'acquired' | 'lost' | 'released'>();
   private ledHomeShardBefore = false;
   private workersAnsweredAt: SteadyMs | null = null;
 
@@ -96,8 +99,9 @@
     if (!this.context.storeCache.loaded) return;
     for (const { shard, node } of this.context.settings.shards) {
       if (this.shardsInTransition.has(shard)) continue;
-      const decision = decideFailover(this.failoverFacts(shard, node, now));
-      if (decision === 'claim') void this.transition(shard, () => this.acquire(shard));
+      const facts = this.failoverFacts(shard, node, now);
+      const decision = decideFailover(facts);
+      if (decision === 'claim') void this.transition(shard, () => this.acquire(shard, failoverReason(facts)));
       if (decision === 'probe') void this.transition(shard, () => this.probeShard(shard));
     }
     this.releaseUnreachableShards(now);
@@ -109,7 +113,7 @@
    */
   async raiseFencingToken(shard: Shard): Promise<void> {
     if (this.shardsInTransition.has(shard.id)) return;
-    await this.transition(shard.id, () => this.acquire(shard.id));
+    await this.transition(shard.id, () => this.acquire(shard.id, { reason: 'higher fencing token needed' }));
   }
 
   /** Applies a change of a shard's record: this process leads a shard only once the watch cache shows it. */
@@ -125,7 +129,15 @@
     this.releasedShards.delete(id);
     const shard = context.shards.get(id);
     if (shard) adoptRecord(shard, record.fencingToken, version);
-    else openShard(context, id, record.fencingToken, version);
+    else {
+      openShard(context, id, record.fencingToken, version);
+      this.events.increment('acquired');
+    }
+  }
+
+  /** Returns how often this process has acquired, lost and released a shard. */
+  eventCounts(): Readonly<Record<string, number>> {
+    return this.events.snapshot();
   }
 
   /** Runs one store request or probe. Ticks do not wait for it: its effect becomes visible in the watch cache. */
@@ -171,10 +183,10 @@
   }
 
   /** Makes one attempt to become the shard's leader, or to remain it, under the next fencing token. */
-  private async acquire(shard: ShardId): Promise<void> {
+  private async acquire(shard: ShardId, reason: AcquisitionReason): Promise<void> {
     const { context } = this;
     if (context.settings.shard !== shard && this.situations.isDelayed(shard, context.clock.now())) return;
-    if (!(await this.transactions.acquire(shard)))
+    if (!(await this.transactions.acquire(shard, reason)))
       await context.sleep(millis(ACQUIRE_RETRY_DELAY_MS + context.random(ACQUIRE_RETRY_JITTER_MS)));
   }
 
@@ -209,11 +221,11 @@
     const { shards, log } = this.context;
     const leader = record?.leader ?? null;
     const lostShard = shards.get(id);
-    if (lostShard)
-      log.info(
-        { ...describeLoss(lostShard, record, version), ...cacheState(this.context) },
-        'leadership lost',
-      );
+    if (lostShard) {
+      const loss = describeLoss(lostShard, record, version);
+      log.info({ ...loss, ...cacheState(this.context) }, 'leadership lost');
+      this.events.increment(leader ? 'lost' : 'released');
+    }
     shards.delete(id);
     if (leader) this.releasedShards.delete(id);
   }
--- a/src/leadership/membership.ts
+++ b/src/leadership/membership.ts
@@ -3,6 +3,7 @@
  * it, which carries the incarnation of the process. Peers take over a controller's shards once its key is gone.
  * Relies on the store to delete the key when the lease expires.
  */
+import type { Log } from '../logging/log.js';
 import type { Settings, Tuning } from '../settings/settings.js';
 import { aliveKey, encodeMembership } from '../shards/codec.js';
 import type { KeyValueClient } from '../store/client.js';
@@ -14,6 +15,7 @@
 /** The part of the controller that membership uses. */
 export interface MembershipContext {
   readonly clock: Clock;
+  readonly log: Pick<Log, 'info'>;
   readonly settings: Pick<Settings, 'node'>;
   readonly tuning: Pick<Tuning, 'membershipTtl'>;
   readonly incarnation: Incarnation;
@@ -70,15 +72,17 @@
 
   /** Grants or renews the lease, and writes the key unless it is attached to it. Returns whether both are in place. */
   private async renew(): Promise<boolean> {
-    const { store, tuning } = this.context;
+    const { store, tuning, log } = this.context;
     if (this.lease === null) {
       const granted = await store.grantLease(tuning.membershipTtl);
       this.lease = granted.kind === 'granted' ? granted.lease : null;
       this.keyWritten = false;
       if (this.lease === null) return false;
+      log.info({ lease: this.lease }, 'membership lease granted');
     } else {
       const outcome = await store.renewLease(this.lease);
       if (outcome.kind === 'expired') {
+        log.info({ lease: this.lease }, 'membership lease expired');
         this.lease = null;
         this.heldSince = null;
         return false;
@@ -87,6 +91,8 @@
     }
     if (this.keyWritten) return true;
     const result = await store.compareAndSwap([], [this.keyChange(this.lease)], RequestPriority.leadership);
+    const version = result.kind === 'done' ? result.revision : null;
+    log.info({ lease: this.lease, result: result.kind, version }, 'write membership key');
     this.keyWritten = result.kind === 'done';
     // The lease may have expired in the meantime: the next attempt requests a new one.
     if (result.kind === 'refused') this.lease = null;
--- a/test/controller/periodic-work.test.ts
+++ b/test/controller/periodic-work.test.ts
@@ -14,7 +14,7 @@
     calls.push(call);
   };
   const services: PeriodicServices = {
-    leadership: { tick: record('leadership') },
+    leadership: { tick: record('leadership'), eventCounts: () => ({}) },
     progress: { tick: record('progress') },
     clusterClockWriter: { tick: record('cluster clock') },
     autoscaler: { scaleOutShards: record('scale out'), scaleInShards: record('scale in') },
--- a/test/jobs/unreadable-records.test.ts
+++ b/test/jobs/unreadable-records.test.ts
@@ -122,7 +122,7 @@
         return Promise.resolve({ kind: 'done', revision: revision(6) });
       },
     });
-    return transactions.acquire(0 as never);
+    return transactions.acquire(0 as never, { reason: 'higher fencing token needed' });
   };
   assert.equal(await acquireWith({ token: 8 }), true);
   assert.equal(await acquireWith(undefined), true);
--- a/test/leadership/leadership.test.ts
+++ b/test/leadership/leadership.test.ts
@@ -2,7 +2,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { ShardLeadership, type LeadershipContext } from '../../src/leadership/leadership.js';
-import { silentLog } from '../../src/logging/log.js';
 import {
   aliveKey,
   encodeFencingToken,
@@ -29,6 +28,7 @@
   type StoreKey,
   type ZoneId,
 } from '../../src/model/units.js';
+import { RecordedLines } from '../support/recording-log.js';
 import { SimulatedClock, flushPromises } from '../support/simulated-clock.js';
 
 type CertainResult = Exclude<CompareAndSwapResult, { kind: 'unknown' }>;
@@ -44,6 +44,7 @@
 class LeadershipFixture {
   readonly clock = new SimulatedClock();
   readonly shards = new Map<ShardId, Shard>();
+  readonly log = new RecordedLines();
   readonly requests: {
     conditions: Condition[];
     changes: Change[];
@@ -92,7 +93,7 @@
       },
       tuning: { membershipTtl: millis(60_000), watchTimeout: millis(60_000) },
       incarnation: INCARNATION,
-      log: silentLog(),
+      log: this.log.logOf(SELF),
       heartbeatIntervalMs: 2500,
       store: {
         grantLease: () => Promise.resolve({ kind: 'granted', lease: 1 as LeaseId }),
@@ -179,3 +180,24 @@
     assert.equal(fixture.requests.length, requests, `confirmed ${cacheAgeMs} ms ago`);
   }
 });
+
+test('an attempt to acquire a shard is logged with its reason, and the changes of leader are counted', async () => {
+  const fixture = new LeadershipFixture();
+  await flushPromises();
+  fixture.putLeader(HOME_SHARD, PEER, 'n1-1' as Incarnation, fencingToken(1));
+  fixture.leadership.tick();
+  fixture.requests[0]?.answer({ kind: 'done', revision: revision(9) });
+  await flushPromises();
+  const reason = { reason: 'failover', replacedLeader: 'n1', leaderAlive: false, membershipAgeMs: 0 };
+  assert.equal(fixture.log.find('acquire leadership', { shard: 0, result: 'done', ...reason }).length, 1);
+  fixture.putLeader(HOME_SHARD, SELF, INCARNATION, fencingToken(2));
+  const shard = fixture.shards.get(HOME_SHARD);
+  assert.ok(shard);
+  void fixture.leadership.raiseFencingToken(shard);
+  fixture.requests[1]?.answer({ kind: 'done', revision: revision(9) });
+  await flushPromises();
+  const raise = { shard: 0, reason: 'higher fencing token needed' };
+  assert.equal(fixture.log.find('acquire leadership', raise).length, 1);
+  fixture.putLeader(HOME_SHARD, PEER, 'n1-1' as Incarnation, fencingToken(3));
+  assert.deepEqual(fixture.leadership.eventCounts(), { acquired: 1, lost: 1 });
+});
--- a/test/leadership/membership.test.ts
+++ b/test/leadership/membership.test.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Membership, type MembershipContext } from '../../src/leadership/membership.js';
+import { silentLog } from '../../src/logging/log.js';
 import type { CompareAndSwapResult } from '../../src/store/client.js';
 import type { LeaseGrantResult, LeaseRenewalResult } from '../../src/store/outcomes.js';
 import type { Change } from '../../src/store/wire.js';
@@ -61,6 +62,7 @@
   const context: MembershipContext = {
     clock,
     store,
+    log: silentLog(),
     settings: { node: 'n0' as ControllerId },
     tuning: { membershipTtl: TTL },
     incarnation: 'n0-1' as Incarnation,
