The membership key is written on condition of its version, and watched

What callers saw: after a controller had ended during its first write and was back at once, leadership of its shard changed several times a second without end; a critical service did not start in 90 s beside a machine with room.

Cause: the membership key was written without a condition and never looked at again. A late write of the ended process replaced the key and attached it to that process's lease. The new process renewed a lease without a key and went on to acquire its home shard; its peers, which go by the key, took it back.

Change: the key is written on condition of its version, counts only while the watch cache shows the version that this process has written, and is written again otherwise; meanwhile no shard is acquired. So both sides decide by the same evidence. No waiting time is added.

--- a/src/leadership/failover.ts
+++ b/src/leadership/failover.ts
@@ -25,7 +25,8 @@
   /** Whether this process leads, or has led before, its home shard. */
   readonly ledHomeShardBefore: boolean;
   /**
-   * Since when this controller has held its membership lease; null: its lease or its watch cache may be out of date.
+   * Since when this controller has held its membership lease and key; null: the lease, the key or the watch cache may
+   * be out of date.
    */
   readonly membershipStableSince: SteadyMs | null;
   /** How many machines of the shard recently sent heartbeats here because the leader does not answer them. */
@@ -75,8 +76,8 @@
 const RULES: readonly FailoverRule[] = [
   // This process already leads the shard. Prevents: the fencing token is raised needlessly.
   { applies: isLeader, decision: 'wait' },
-  // The lease may have expired, or the watch cache may be out of date. Prevents: a controller that returns from a
-  // partition acquires a shard, and a peer that does not see its membership key takes the shard over at once.
+  // The lease may have expired, the key may be gone, or the watch cache may be out of date. Prevents: a controller
+  // acquires a shard, and a peer that does not see its membership key takes the shard over at once.
   { applies: (facts) => facts.membershipStableSince === null, decision: 'wait' },
 
   // The home shard of a process that has not led it yet. Prevents: after a restart the shard has no active
--- a/src/leadership/leadership.ts
+++ b/src/leadership/leadership.ts
@@ -93,10 +93,11 @@
     this.redirectedHeartbeats.record(shard, machine);
   }
 
-  /** Decides for every shard whether to acquire or release it; called several times a second. */
+  /** Checks the membership key, and decides for every shard whether to acquire or release it. */
   tick(): void {
     const now = this.context.clock.now();
     if (!this.context.storeCache.loaded) return;
+    this.membership.checkKey();
     for (const { shard, node } of this.context.settings.shards) {
       if (this.shardsInTransition.has(shard)) continue;
       const facts = this.failoverFacts(shard, node, now);
--- a/test/leadership/leadership.test.ts
+++ b/test/leadership/leadership.test.ts
@@ -37,6 +37,7 @@
 const PEER = 'n1' as ControllerId;
 const INCARNATION = 'n0-1' as Incarnation;
 const EAST = 'east' as ZoneId;
+const MEMBERSHIP_TTL = millis(60_000);
 const HOME_SHARD = shardId(0);
 const PEER_SHARD = shardId(1);
 
@@ -62,7 +63,7 @@
     this.storeCache.loadSnapshot([], revision(0), this.clock.now());
   }
 
-  /** Writes a value to the store, and applies the change to the watch cache. */
+  /** Writes a value to the store (undefined: deletes the key), and applies the change to the watch cache. */
   put(key: StoreKey, value: unknown): Revision {
     this.lastRevision += 1;
     const version = revision(this.lastRevision);
@@ -70,6 +71,12 @@
     return version;
   }
 
+  /** Writes the membership key, which is the only key that is written without the leadership requests. */
+  private commit(change: Change | undefined): Revision {
+    assert.ok(change?.op === 'put' && change.key === aliveKey(SELF));
+    return this.put(change.key, change.value);
+  }
+
   putLeader(shard: ShardId, leader: ControllerId, incarnation: Incarnation, token: FencingToken): Revision {
     this.put(TOKEN_KEY, encodeFencingToken(token));
     return this.put(shardKey(shard), encodeShardRecord({ leader, incarnation, fencingToken: token }));
@@ -91,14 +98,15 @@
           { shard: PEER_SHARD, node: PEER, zone: EAST },
         ],
       },
-      tuning: { membershipTtl: millis(60_000), watchTimeout: millis(60_000) },
+      tuning: { membershipTtl: MEMBERSHIP_TTL, watchTimeout: millis(60_000) },
       incarnation: INCARNATION,
       log: this.log.logOf(SELF),
       heartbeatIntervalMs: 2500,
       store: {
         grantLease: () => Promise.resolve({ kind: 'granted', lease: 1 as LeaseId }),
         renewLease: () => Promise.resolve({ kind: 'renewed' }),
-        compareAndSwap: () => Promise.resolve({ kind: 'done', revision: revision(1) }),
+        get: () => Promise.resolve({ kind: 'absent' }),
+        compareAndSwap: (_, [change]) => Promise.resolve({ kind: 'done', revision: this.commit(change) }),
       },
       types: new Map(),
       activeJobs: new Map(),
@@ -201,3 +209,28 @@
   fixture.putLeader(HOME_SHARD, PEER, 'n1-1' as Incarnation, fencingToken(3));
   assert.deepEqual(fixture.leadership.eventCounts(), { acquired: 1, lost: 1 });
 });
+
+// Two controllers whose keys were gone took a shard from each other without end.
+test('a controller whose membership key is gone acquires no shard until the key is written again', async () => {
+  for (const [shard, leader] of [
+    [HOME_SHARD, PEER],
+    [PEER_SHARD, 'n2' as ControllerId],
+  ] as const) {
+    const fixture = new LeadershipFixture();
+    await flushPromises();
+    fixture.putLeader(HOME_SHARD, SELF, INCARNATION, fencingToken(1));
+    fixture.putLeader(PEER_SHARD, PEER, 'n1-1' as Incarnation, fencingToken(2));
+    await fixture.clock.advance(10_000);
+    fixture.put(aliveKey(PEER), encodeMembership('n1-1' as Incarnation));
+    fixture.put(aliveKey(SELF), undefined);
+    fixture.putLeader(shard, leader, 'n2-1' as Incarnation, fencingToken(3));
+    fixture.leadership.tick();
+    assert.deepEqual(fixture.requests, [], `shard ${shard} of ${leader}`);
+    await fixture.clock.advance(10_000);
+    // The first tick may probe the workers.
+    fixture.leadership.tick();
+    await flushPromises();
+    fixture.leadership.tick();
+    assert.equal(fixture.requests.length, 1, `shard ${shard} of ${leader}: the key has been written again`);
+  }
+});
--- a/test/leadership/membership.test.ts
+++ b/test/leadership/membership.test.ts
@@ -3,65 +3,24 @@
 import { test } from 'node:test';
 import { Membership, type MembershipContext } from '../../src/leadership/membership.js';
 import { silentLog } from '../../src/logging/log.js';
-import type { CompareAndSwapResult } from '../../src/store/client.js';
-import type { LeaseGrantResult, LeaseRenewalResult } from '../../src/store/outcomes.js';
-import type { Change } from '../../src/store/wire.js';
-import {
-  millis,
-  revision,
-  type ControllerId,
-  type Incarnation,
-  type LeaseId,
-  type Millis,
-} from '../../src/model/units.js';
+import { millis, type ControllerId, type Incarnation, type Millis } from '../../src/model/units.js';
+import { KEY, MembershipStore, PREDECESSOR } from '../support/membership-store.js';
 import { SimulatedClock } from '../support/simulated-clock.js';
 
 const TTL = millis(3000);
 
-/** A store that grants numbered leases; every request takes 10 ms. */
-class ScriptedStore {
-  readonly requests: string[] = [];
-  readonly writes: Change[] = [];
-  grants = true;
-  renewal: LeaseRenewalResult['kind'] = 'renewed';
-  write: CompareAndSwapResult = { kind: 'done', revision: revision(1) };
-  private lastLease = 0;
-
-  constructor(private readonly clock: SimulatedClock) {}
-
-  async grantLease(): Promise<LeaseGrantResult> {
-    this.requests.push('grant');
-    await this.clock.sleep(10);
-    if (!this.grants) return { kind: 'failed' };
-    this.lastLease += 1;
-    return { kind: 'granted', lease: this.lastLease as LeaseId };
-  }
-
-  async renewLease(lease: LeaseId): Promise<LeaseRenewalResult> {
-    this.requests.push(`renew ${lease}`);
-    await this.clock.sleep(10);
-    return { kind: this.renewal };
-  }
-
-  async compareAndSwap(_conditions: unknown, changes: readonly Change[]): Promise<CompareAndSwapResult> {
-    this.requests.push('write');
-    this.writes.push(...changes);
-    await this.clock.sleep(10);
-    return this.write;
-  }
-}
-
-function startMembership(prepare: (store: ScriptedStore) => void = () => undefined): {
+function startMembership(prepare: (store: MembershipStore) => void = () => undefined): {
   clock: SimulatedClock;
-  store: ScriptedStore;
+  store: MembershipStore;
   membership: Membership;
 } {
   const clock = new SimulatedClock();
-  const store = new ScriptedStore(clock);
+  const store = new MembershipStore(clock);
   prepare(store);
   const context: MembershipContext = {
     clock,
     store,
+    storeCache: store.watchCache,
     log: silentLog(),
     settings: { node: 'n0' as ControllerId },
     tuning: { membershipTtl: TTL },
@@ -108,7 +67,7 @@
   const { clock, store, membership } = startMembership();
   const startedAt = clock.now();
   await clock.advance(500);
-  store.renewal = 'expired';
+  store.expireLease();
   await clock.advance(600);
   assert.equal(membership.stableSince(clock.now()), null);
   await clock.advance(400);
@@ -126,7 +85,7 @@
     const { clock, store, membership } = startMembership((store) => (store.write = { kind }));
     await clock.advance(100);
     assert.equal(membership.stableSince(clock.now()), null, kind);
-    store.write = { kind: 'done', revision: revision(2) };
+    store.write = null;
     await clock.advance(500);
     assert.deepEqual(store.requests, requests, kind);
     assert.notEqual(membership.stableSince(clock.now()), null, kind);
@@ -139,3 +98,65 @@
   assert.equal(membership.stableSince(clock.now()), null);
   assert.deepEqual(store.requests, ['grant', 'grant', 'grant', 'grant']);
 });
+
+// A late write of an ended process replaced the key: it must meet a version that the new process has changed.
+test('the key is written on condition of its version; after a conflict the stored version is read', async () => {
+  const { clock, store, membership } = startMembership((store) => {
+    store.commit(PREDECESSOR);
+  });
+  // The watch cache does not show the predecessor's key, and a late write of the predecessor follows the read.
+  await clock.advance(35);
+  store.commit(PREDECESSOR);
+  await clock.advance(100);
+  assert.equal(membership.stableSince(clock.now()), null, 'the second write has met a conflict too');
+  await clock.advance(400);
+  assert.deepEqual(store.requests, ['grant', 'write', 'read', 'write', 'renew 1', 'write', 'read', 'write']);
+  assert.notEqual(membership.stableSince(clock.now()), null);
+});
+
+// The key was written once and never looked at again: the lease was renewed for ever without a key.
+test('a key that is deleted or replaced while the lease is renewed is written again on the same lease', async () => {
+  for (const value of [undefined, PREDECESSOR]) {
+    const { clock, store, membership } = startMembership();
+    await clock.advance(5000);
+    assert.notEqual(membership.stableSince(clock.now()), null);
+    store.requests.length = 0;
+    store.change(value);
+    assert.equal(membership.stableSince(clock.now()), null, 'peers do not see this process any more');
+    const lostAt = clock.now();
+    membership.checkKey();
+    await clock.advance(50);
+    assert.deepEqual(store.requests, ['renew 1', 'write']);
+    assert.deepEqual(store.writes.at(-1), {
+      op: 'put',
+      key: KEY,
+      value: { incarnation: 'n0-1' },
+      lease: 1,
+    });
+    const since = membership.stableSince(clock.now());
+    assert.ok(since !== null && since >= lostAt, 'the stable time restarts');
+  }
+});
+
+test('a key in place causes no write, however often it is checked and however late the watch cache shows it', async () => {
+  const { clock, store, membership } = startMembership();
+  for (let i = 0; i < 20; i += 1) {
+    await clock.advance(100);
+    membership.checkKey();
+  }
+  assert.deepEqual(store.requests, ['grant', 'write', 'renew 1']);
+  assert.notEqual(membership.stableSince(clock.now()), null);
+});
+
+test('after a conflict nothing is written until the key can be read', async () => {
+  const { clock, store, membership } = startMembership((store) => {
+    store.commit(PREDECESSOR);
+    store.reads = false;
+  });
+  await clock.advance(100);
+  assert.deepEqual(store.requests, ['grant', 'write', 'read']);
+  assert.equal(membership.stableSince(clock.now()), null);
+  store.reads = true;
+  await clock.advance(500);
+  assert.notEqual(membership.stableSince(clock.now()), null);
+});
