A controller leads a shard again that it released and that no peer took

What callers see: with one controller left, jobs of the shards that it had released while its machines were cut off wait until another one starts.

Cause: a leader that hears nothing of its peers takes itself for cut off and releases a shard with silent machines, also when no peer is alive. And it never acquires a shard that it released itself, unless another controller has led it since: the flag is never looked at again.

Change: without announcements a shard is released only if the membership key of some peer exists; a shard released here is acquired again once no peer has done so for 10 s (peers take 0.6 s or 3 s, so they still go first).

--- a/src/leadership/failover.ts
+++ b/src/leadership/failover.ts
@@ -54,6 +54,8 @@
 const NEVER_LED_DELAY_MS = 6000;
 /** Time for a restarted leader to acquire its home shard again. */
 const RESTART_GRACE_MS = 4000;
+/** Time for a peer to acquire a shard that this controller has released; a peer may have to restart first. */
+const NO_SUCCESSOR_MS = 10_000;
 /** Peers leave a released shard to its live home controller for this time. */
 const HOME_CONTROLLER_HEAD_START_MS = 600;
 
@@ -88,6 +90,12 @@
     applies: (facts) => isHomeShard(facts) && isReleased(facts) && !facts.releasedBySelf,
     decision: 'claim',
   },
+  // This controller released the shard, and no peer has acquired it. Prevents: the shard has no leader until another
+  // controller starts, although its workers may have been reachable again for a long time.
+  {
+    applies: (facts) => isReleased(facts) && facts.releasedBySelf && facts.situationAgeMs > NO_SUCCESSOR_MS,
+    decision: 'claim',
+  },
   // A peer leads the home shard, or this process released it, and the membership lease is recent. Prevents: on an
   // unstable network the shard changes its leader at each reconnection, and all of its machines must be reconciled
   // each time.
@@ -108,7 +116,7 @@
   // The shard was never led, and its home controller does not start.
   { applies: isNeverLed, decision: 'claim' },
 
-  // This controller released the shard because it does not reach the workers. Prevents: it acquires and releases the
+  // This controller has just released the shard because it does not reach the workers. Prevents: it acquires and releases the
   // shard again and again, so that no peer that reaches the workers can acquire it.
   { applies: (facts) => isReleased(facts) && facts.releasedBySelf, decision: 'wait' },
   // The shard was released, and heartbeats of its workers arrive here. The head start prevents: the home controller,
--- a/src/leadership/worker-reachability.ts
+++ b/src/leadership/worker-reachability.ts
@@ -4,7 +4,7 @@
  */
 import type { Settings } from '../settings/settings.js';
 import type { Machine, Shard } from '../shards/model.js';
-import type { ControllerId, Millis, ShardId, SteadyMs } from '../model/units.js';
+import type { ControllerId, Incarnation, Millis, ShardId, SteadyMs } from '../model/units.js';
 import { millis } from '../model/units.js';
 
 /** The part of the controller that the decision uses. */
@@ -17,6 +17,8 @@
   >;
   /** Returns whether an announcement of the peer arrived within this time. */
   hasAnnouncedWithin(node: ControllerId, within: Millis): boolean;
+  /** Returns whether the controller's membership key exists, for the given incarnation unless that is null. */
+  isAlive(node: ControllerId, incarnation: Incarnation | null): boolean;
 }
 
 /** How many machines of a shard are expected to send heartbeats, and how many of these are silent. */
@@ -71,16 +73,15 @@
 }
 
 /**
- * Returns whether a peer receives heartbeats of the shard's machines, or no announcements of peers arrive, which means
- * that this controller is cut off. Prevents: when the machines themselves are cut off or have failed, a release only
- * changes the leader, and the new leader has to reconcile all machines.
+ * Returns whether a peer receives heartbeats of the shard's machines, or no announcements arrive from live peers, which
+ * means that this controller is cut off. Prevents: when the machines themselves are cut off or have failed, or no peer
+ * is alive, a release only leaves the shard without a leader or changes it, and all machines have to be reconciled.
  */
 function mayPeersReachMachines(context: ReachabilityContext, shard: ShardId): boolean {
   const { settings, peers } = context;
-  if (settings.peers.length === 0) return false;
-  const livePeers = settings.peers.filter((peer) =>
+  const announcingPeers = settings.peers.filter((peer) =>
     context.hasAnnouncedWithin(peer.node, PEER_SILENCE_LIMIT),
   );
-  if (livePeers.length === 0) return true;
-  return livePeers.some((peer) => (peers.get(peer.node)?.redirectedHeartbeats.get(shard) ?? 0) > 0);
+  if (announcingPeers.length === 0) return settings.peers.some((peer) => context.isAlive(peer.node, null));
+  return announcingPeers.some((peer) => (peers.get(peer.node)?.redirectedHeartbeats.get(shard) ?? 0) > 0);
 }
--- a/test/leadership/failover-decision.test.ts
+++ b/test/leadership/failover-decision.test.ts
@@ -63,6 +63,10 @@
     'wait',
     'released by this controller',
   );
+  const unclaimed = { leader: null, leaderIncarnation: null, releasedBySelf: true, situationAgeMs: 10_001 };
+  for (const homeController of ['n0', 'n1'])
+    assert.equal(decide({ ...unclaimed, homeController }), 'claim', 'no peer has acquired it since');
+  assert.equal(decide({ ...unclaimed, situationAgeMs: 10_000 }), 'wait', 'a peer may still acquire it');
   const home = { homeController: 'n1', leader: 'n2', leaderIncarnation: 'n2-1' };
   assert.equal(
     decide({ ...home, ledHomeShardBefore: false }),
--- a/test/leadership/worker-reachability.test.ts
+++ b/test/leadership/worker-reachability.test.ts
@@ -57,6 +57,7 @@
     settings: { peers: [{ node: PEER } as Peer] },
     peers: new Map([[PEER, { redirectedHeartbeats: new Map([[SHARD, redirected]]) }]]),
     hasAnnouncedWithin: (node) => node === PEER && announcementsArrive,
+    isAlive: (node) => node === PEER,
   };
 }
 
@@ -105,6 +106,11 @@
     null,
     'this controller is cut off',
   );
+  assert.equal(
+    findUnreachableMachines({ ...contextWithPeer(0, false), isAlive: () => false }, shard, NOW),
+    null,
+    'no other controller is alive',
+  );
   const withoutPeers = { ...contextWithPeer(1), settings: { peers: [] } };
   assert.equal(
     findUnreachableMachines(withoutPeers, shard, NOW),
