The record of a deleted machine is deleted however long the store is out

What operators see: after an outage of the store in the seconds after a machine's deletion, c/machines/ keeps a record of a machine that is gone, for as long as the shard keeps its leader. The shard seems larger than it is, and the next leader deletes the machine once more.

Cause: the record was given up after 20 attempts and left to a later leader.

Change: it is deleted as long as this controller leads the shard, with the delay growing to 5 s; the conditions of each attempt stay.

--- a/src/autoscaling/machine-deletion.ts
+++ b/src/autoscaling/machine-deletion.ts
@@ -8,7 +8,7 @@
 import { machineKey } from '../shards/codec.js';
 import { RequestPriority } from '../store/rate-limiter.js';
 import type { MachineId } from '../model/units.js';
-import { millis } from '../model/units.js';
+import { millis, NO_REVISION } from '../model/units.js';
 import { withJitter } from './jitter.js';
 
 /** Deletions within this time share one request. */
@@ -18,9 +18,6 @@
 const MIN_RETRY_DELAY_MS = 500;
 const MAX_RETRY_DELAY_MS = 5000;
 const RETRY_JITTER = 0.3;
-/** Attempts to delete the record; a later leader of the shard deletes a record that is left over. */
-const MAX_RECORD_DELETION_ATTEMPTS = 20;
-const RECORD_DELETION_RETRY_DELAY = millis(500);
 
 interface DeletionBatch {
   readonly ids: MachineId[];
@@ -61,10 +58,23 @@
     await core.exclusive(() => {
       if (shard.machines.get(machine.id) === machine) this.onMachineDeleted(shard, machine);
     });
+    await this.deleteRecord(shard, machine);
+  }
+
+  /**
+   * Deletes the record as long as this controller leads the shard; a later leader finds the machine in the record, and
+   * deletes both again.
+   *
+   * Prevents: the store does not answer for some time, and the record remains: the shard appears to have more machines
+   * than it has.
+   */
+  private async deleteRecord(shard: Shard, machine: Machine): Promise<void> {
+    const { core } = this;
     const key = machineKey(machine.id);
-    for (let attempt = 0; attempt < MAX_RECORD_DELETION_ATTEMPTS; attempt += 1) {
+    let retryDelayMs = MIN_RETRY_DELAY_MS;
+    for (;;) {
       const version = core.storeCache.version(key);
-      if (version === 0 || core.shards.get(shard.id) !== shard) return;
+      if (version === NO_REVISION || core.shards.get(shard.id) !== shard) return;
       const result = await core.store.compareAndSwap(
         [{ key, version }, core.leaderCondition(shard)],
         [{ op: 'delete', key }],
@@ -72,7 +82,8 @@
       );
       if (result.kind === 'done')
         return core.exclusive(() => core.storeCache.apply(key, undefined, result.revision));
-      await core.sleep(RECORD_DELETION_RETRY_DELAY);
+      await core.sleep(millis(retryDelayMs));
+      retryDelayMs = Math.min(MAX_RETRY_DELAY_MS, retryDelayMs * 2);
     }
   }
 
