Leases of the simulated state service in a module of their own

Change: grants, renewals and expiry move to store-leases.ts; the owner of a lease, which nothing read, is gone. No behaviour changes.

--- a/src/simulation/store-service.ts
+++ b/src/simulation/store-service.ts
@@ -6,6 +6,7 @@
 import type { Response } from './network.js';
 import type { RandomStream } from './random.js';
 import { KeyValueTable, type StoredChange, type TransactionBody } from './key-value-table.js';
+import { LEASES_PATH, StoreLeases } from './store-leases.js';
 import { TokenBucket } from './token-bucket.js';
 
 /** Limits: requests and changes per second, kilobytes per value, changes per transaction. */
@@ -27,7 +28,6 @@
 export type Reply = (response: Response) => void;
 
 const MAX_TRANSACTION_BYTES = 64 * 1024;
-const MAX_LEASE_EXPIRY_DELAY_MS = 100;
 const MAX_LISTED_KEYS = 1000;
 /** Share of responses that are slow, and their additional delay. */
 const SLOW_RESPONSE_SHARE = 0.003;
@@ -37,12 +37,6 @@
 const CONDITIONS_PER_CHANGE = 4;
 const BYTES_PER_KB = 1024;
 
-interface Lease {
-  readonly ttlMs: number;
-  readonly owner: string;
-  endsAt: number;
-}
-
 /** Serves the HTTP interface of the state service from a `KeyValueTable`. */
 export class StoreService {
   readonly table: KeyValueTable;
@@ -58,7 +52,7 @@
   onCommit: (body: TransactionBody, from: string) => void = () => undefined;
   /** Number of requests that were refused because of a rate limit. */
   throttledRequests = 0;
-  private readonly leases = new Map<number, Lease>();
+  private readonly leases: StoreLeases;
   private readonly watches = new Set<() => void>();
   private readonly requestBucket: TokenBucket;
   private readonly changeBucket: TokenBucket;
@@ -70,6 +64,13 @@
     private readonly defects: Defects,
   ) {
     this.table = new KeyValueTable(!defects.has('state-ignores-conditions'));
+    this.leases = new StoreLeases({
+      queue,
+      random,
+      table: this.table,
+      isOutage: () => this.outage,
+      onExpired: () => this.notify(),
+    });
     this.requestBucket = new TokenBucket(queue, limits.rps);
     this.changeBucket = new TokenBucket(queue, limits.writeRps);
   }
@@ -99,8 +100,8 @@
       this.transaction(from.name, call.body as TransactionBody, reply);
       return;
     }
-    if (url.pathname.startsWith('/leases')) {
-      reply(this.lease(from.name, call, url.pathname));
+    if (url.pathname.startsWith(LEASES_PATH)) {
+      reply(this.leases.serve(call, url.pathname));
       return;
     }
     reply(url.pathname === '/kv' ? this.list(url) : this.read(url.pathname.slice('/kv/'.length)));
@@ -178,45 +179,9 @@
     return { status: HTTP_STATUS.ok, body: { ledger: result.ledger } };
   }
 
-  private lease(from: string, call: Call, path: string): Response {
-    const id = Number(/^\/leases\/(\d+)/.exec(path)?.[1] ?? 0);
-    if (path === '/leases') {
-      const newLeaseId = this.table.grantLease();
-      const { ttlMs } = call.body as { ttlMs: number };
-      this.leases.set(newLeaseId, { ttlMs, owner: from, endsAt: this.queue.now + ttlMs });
-      this.scheduleLeaseExpiry(newLeaseId);
-      return { status: HTTP_STATUS.ok, body: { mooring: newLeaseId } };
-    }
-    const lease = this.leases.get(id);
-    if (!lease) return { status: HTTP_STATUS.notFound, body: {} };
-    if (call.method === 'DELETE') this.endLease(id);
-    else lease.endsAt = this.queue.now + lease.ttlMs;
-    return { status: HTTP_STATUS.ok, body: { mooring: id } };
-  }
-
-  /** Leases may expire slightly late, never early, and not during an outage. */
-  private scheduleLeaseExpiry(id: number): void {
-    const lease = this.leases.get(id);
-    if (!lease) return;
-    const remainingMs = lease.endsAt - this.queue.now;
-    if (remainingMs <= 0 && !this.outage) {
-      this.endLease(id);
-      return;
-    }
-    this.queue.after(Math.max(remainingMs, 1) + this.random.between(0, MAX_LEASE_EXPIRY_DELAY_MS), () =>
-      this.scheduleLeaseExpiry(id),
-    );
-  }
-
-  private endLease(id: number): void {
-    this.leases.delete(id);
-    this.table.endLease(id);
-    this.notify();
-  }
-
   endOutage(): void {
     this.outage = false;
-    for (const lease of this.leases.values()) lease.endsAt = this.queue.now + lease.ttlMs;
+    this.leases.restartAll();
     this.notify();
   }
 
