--- a/src/simulation/cloud.ts
+++ b/src/simulation/cloud.ts
@@ -40,6 +40,7 @@
 const INITIAL_MACHINE_AGE_MS = 600_000;
 const RESPONSE_DELAY_MS = { low: 30, high: 150 };
 const LATE_EXECUTION_DELAY_MS = { low: 2000, high: 12_000 };
+const REPEAT_DELAY_MS = { low: 200, high: 30_000 };
 const FAST_BOOT_MS = { low: 300, high: 2000 };
 /** Factors on the boot time of a machine's type: of every boot, and in addition of slow boots. */
 const BOOT_TIME_FACTOR = { low: 0.6, high: 1.5 };
@@ -62,6 +63,8 @@
   fastBoots = false;
   /** Share of scale-out and scale-in requests that get no answer and are executed later. */
   lateExecutionShare = 0;
+  /** Share of scale-out and scale-in requests that are executed and answered, and executed again later; null: none. */
+  repeatedRequests: { readonly share: number; readonly random: RandomStream } | null = null;
   /** While set, scale-out requests are refused. */
   outOfCapacity = false;
   private readonly machinesByIdempotencyKey = new Map<string, string[]>();
@@ -101,11 +104,19 @@
       url.pathname === '/hosts/delete'
         ? this.scaleIn(call.body as { berths: string[] })
         : this.scaleOut(call.body as ScaleOutBody);
-    if (!this.random.chance(this.lateExecutionShare)) return execute();
+    if (!this.random.chance(this.lateExecutionShare)) return this.executeAndRepeat(execute);
     this.queue.after(this.random.within(LATE_EXECUTION_DELAY_MS), execute);
     return null;
   }
 
+  private executeAndRepeat(execute: () => Response): Response {
+    const response = execute();
+    const repeated = this.repeatedRequests;
+    if (response.status === HTTP_STATUS.ok && repeated?.random.chance(repeated.share))
+      this.queue.after(repeated.random.within(REPEAT_DELAY_MS), execute);
+    return response;
+  }
+
   private scaleOut(body: ScaleOutBody): Response {
     const existing = this.machinesByIdempotencyKey.get(body.charter);
     if (existing) return { status: HTTP_STATUS.ok, body: { berths: existing } };
--- a/src/simulation/controller-faults.ts
+++ b/src/simulation/controller-faults.ts
@@ -22,6 +22,7 @@
 ): void {
   if (!node.host.up) return;
   node.stop();
+  target.links.repeatedCommands.onControllerEnded();
   target.faults.onEvent({ name: 'controller_ended', node: node.name });
   const delayS = restartS ?? target.scenario.deployment.restart_s * random.within(RESTART_TIME_FACTOR);
   target.queue.after(delayS * 1000, () => target.startNode(node));
--- a/src/simulation/fault-generators.ts
+++ b/src/simulation/fault-generators.ts
@@ -3,7 +3,8 @@
 import type { FaultInput, ScenarioInput } from './scenario.js';
 
 type Deployment = ScenarioInput['deployment'];
-type FaultGenerator = (random: RandomStream, deployment: Deployment) => FaultInput;
+/** Draws one fault for a deployment. */
+export type FaultGenerator = (random: RandomStream, deployment: Deployment) => FaultInput;
 
 const randomDurationS = (random: RandomStream, low: number, high: number): number =>
   Math.round(random.between(low, high) * 10) / 10;
--- a/src/simulation/machines.ts
+++ b/src/simulation/machines.ts
@@ -1,5 +1,6 @@
 /** Running machines, each with its worker, and their links to the controllers. */
 import type { Call } from '../http/client.js';
+import { HTTP_STATUS } from '../http/status.js';
 import type { Millis } from '../model/units.js';
 import { Host, type EventQueue } from './clock.js';
 import type { SimulatedCloud } from './cloud.js';
@@ -12,6 +13,7 @@
 import type { Network, Response } from './network.js';
 import type { MachineSpec, Observer } from './observer.js';
 import type { RandomStream } from './random.js';
+import { RepeatedCommands } from './repeated-commands.js';
 import type { Reply } from './store-service.js';
 import type { Trace } from './trace.js';
 import { Worker, type WorkerTimes } from './worker.js';
@@ -40,12 +42,17 @@
   delayedHeartbeatOptions = { share: 0, heldUntilFailover: false };
   /** Share of requests with commands that are executed late and get no answer. */
   lateCommandShare = 0;
+  readonly repeatedCommands: RepeatedCommands;
   /** Machines that receive no answers and no commands. */
   readonly inboundLost = new Set<Host>();
   /** Machines whose heartbeats are lost. */
   readonly heartbeatsLost = new Set<Host>();
   private delayedHeartbeats: { readonly from: Host; readonly body: object }[] = [];
 
+  constructor(leaseMs: number) {
+    this.repeatedCommands = new RepeatedCommands(leaseMs);
+  }
+
   delayHeartbeat(from: Host, body: object): void {
     this.delayedHeartbeats.push({ from, body });
   }
@@ -171,7 +178,10 @@
       machine.host.after(random.within(LATE_COMMAND_DELAY_MS), () => machine.worker.serve(call));
       return;
     }
-    reply(machine.worker.serve(call));
+    const response = machine.worker.serve(call);
+    reply(response);
+    if (call.path !== '/orders' || response.status !== HTTP_STATUS.ok) return;
+    links.repeatedCommands.afterAnswer({ host: machine.host, execute: () => machine.worker.serve(call) });
   }
 
   private async sendHeartbeat(host: Host, controller: number, body: object): Promise<Response | null> {
--- a/src/simulation/scenario-generator.ts
+++ b/src/simulation/scenario-generator.ts
@@ -1,12 +1,15 @@
 /** Generates random small scenarios from a seed: a deployment, a load, and a few faults that overlap in time. */
 import { FAULT_GENERATORS, GANG_FAULT_GENERATORS } from './fault-generators.js';
 import { RandomStream } from './random.js';
+import { REPEAT_GENERATORS } from './repeat-generators.js';
 import { checkScenario, type FaultInput, type Scenario, type ScenarioInput } from './scenario.js';
 
 const ZONES = ['fjord', 'ridge', 'marsh'];
 const TEAMS = ['atlas', 'tides'];
 /** Share of schedules with gangs. */
 const GANG_SHARE = 0.8;
+/** Share of schedules with repeats, for each kind of request. */
+const REPEAT_SHARE = 0.3;
 /** Faults begin between these times; the rest of the run shows whether the cluster recovers. */
 const MIN_FAULT_START_S = 12;
 const MAX_FAULT_START_S = 75;
@@ -156,6 +159,14 @@
   return faults;
 }
 
+/** Draws from a stream of its own, so that the other faults of a seed do not depend on these. */
+function randomRepeats(random: RandomStream, deployment: Deployment): FaultInput[] {
+  return REPEAT_GENERATORS.filter(() => random.chance(REPEAT_SHARE)).map((generate) => ({
+    ...generate(random, deployment),
+    at_s: Math.round(random.between(0, MAX_FAULT_START_S)),
+  }));
+}
+
 /** Generates the scenario of a seed; with a base, keeps its deployment and load and generates only the faults. */
 export function randomScenario(seed: number, base: Scenario | null): Scenario {
   const random = new RandomStream(seed).fork('scenario');
@@ -165,6 +176,7 @@
   const faults = [
     ...randomFaults(random.fork('faults'), deployment),
     ...(gangs ? randomGangFaults(random.fork('gang faults'), deployment) : []),
+    ...randomRepeats(random.fork('repeats'), deployment),
   ];
   const applicableFaults = faults.filter(
     (fault) => fault.kind !== 'surge' || loads.some((load) => load.class === fault.class),
--- a/src/simulation/scenario-schema.ts
+++ b/src/simulation/scenario-schema.ts
@@ -3,27 +3,17 @@
  * scenarios rely on the names and the defaults.
  */
 import * as v from 'valibot';
-
-const nonNegativeNumber = v.pipe(
-  v.number('a number'),
-  v.finite('a finite number'),
-  v.minValue(0, 'at least 0'),
-);
-const positiveNumber = v.pipe(v.number('a number'), v.finite('a finite number'), v.gtValue(0, 'more than 0'));
-const nonNegativeInteger = v.pipe(
-  v.number('a whole number'),
-  v.integer('a whole number'),
-  v.minValue(0, 'at least 0'),
-);
-const positiveInteger = v.pipe(
-  v.number('a whole number'),
-  v.integer('a whole number'),
-  v.minValue(1, 'at least 1'),
-);
-const fraction = v.pipe(v.number('a share'), v.minValue(0, 'at least 0'), v.maxValue(1, 'at most 1'));
-const nonEmptyString = v.pipe(v.string('a text'), v.nonEmpty('a text that is not empty'));
-const optionalFlag = v.optional(v.boolean('true or false'), false);
-const range = v.tuple([nonNegativeNumber, nonNegativeNumber], 'two numbers: least and most');
+import { faultSchema } from './fault-schema.js';
+import {
+  fraction,
+  nonEmptyString,
+  nonNegativeInteger,
+  nonNegativeNumber,
+  optionalFlag,
+  positiveInteger,
+  positiveNumber,
+  range,
+} from './scenario-values.js';
 
 const deploymentSchema = v.strictObject({
   zones: v.pipe(v.array(nonEmptyString, 'a list of zones'), v.minLength(1, 'at least one zone')),
@@ -133,92 +123,6 @@
   save_s: v.optional(nonNegativeNumber, 0),
 });
 
-/** Events that can trigger a fault; `nth` counts the events after `at_s`. */
-const EVENTS = [
-  'part_claimed',
-  'commit',
-  'accepted',
-  'cancel_confirmed',
-  'job_done',
-  'task_started',
-  'gang_gathers',
-  'gang_started',
-  'controller_started',
-  'controller_ended',
-] as const;
-
-const timing = {
-  at_s: v.optional(nonNegativeNumber, 0),
-  on: v.optional(v.picklist(EVENTS, `one of ${EVENTS.join(', ')}`)),
-  /** With `on = "commit"`: the prefix of a committed key. */
-  key: v.optional(nonEmptyString),
-  nth: v.optional(positiveInteger, 1),
-  after_ms: v.optional(nonNegativeNumber, 0),
-};
-/** Timing of a fault that lasts for a while. */
-const timespan = { ...timing, for_s: v.optional(nonNegativeNumber, 10) };
-/** A controller by index, or the controller of the event; by default a random one. */
-const nodeSelector = {
-  node: v.optional(v.union([nonNegativeInteger, v.literal('event')], 'a number or "event"')),
-};
-/** Machines by count, share or zone, or the machine of the event; by default one random machine. */
-const machineSelector = {
-  count: v.optional(positiveInteger),
-  share: v.optional(fraction),
-  zone: v.optional(nonEmptyString),
-  machine: v.optional(v.literal('event', '"event"')),
-};
-const mode = { mode: v.optional(v.picklist(['drop', 'hold', 'refuse'], 'drop, hold or refuse'), 'hold') };
-
-const faultKind = <K extends string, T extends v.ObjectEntries>(kind: K, entries: T) =>
-  v.strictObject({ kind: v.literal(kind), ...entries });
-
-const faultSchema = v.variant('kind', [
-  faultKind('controller_end', { ...timing, ...nodeSelector, restart_s: v.optional(nonNegativeNumber) }),
-  faultKind('all_controllers_end', { ...timing, restart_s: v.optional(nonNegativeNumber) }),
-  faultKind('controllers_restart', { ...timing, gap_s: v.optional(positiveNumber, 8) }),
-  faultKind('controller_pause', { ...timespan, ...nodeSelector }),
-  faultKind('node_cut', {
-    ...timespan,
-    ...nodeSelector,
-    ...mode,
-    from_state: optionalFlag,
-    from_peers: optionalFlag,
-    from_workers: optionalFlag,
-    from_users: optionalFlag,
-  }),
-  faultKind('peers_refused', timespan),
-  faultKind('zone_cut', { ...timespan, ...mode, zone: nonEmptyString }),
-  faultKind('zones_cut', { ...timespan, ...mode, zone: nonEmptyString, other_zone: nonEmptyString }),
-  faultKind('state_outage', timespan),
-  faultKind('state_refuses', { ...timespan, ...nodeSelector }),
-  faultKind('state_slow', { ...timespan, slow_ms: v.optional(positiveNumber, 400) }),
-  faultKind('late_writes', { ...timespan, share: v.optional(fraction, 0.3), at_once: optionalFlag }),
-  faultKind('late_reports', { ...timespan, share: v.optional(fraction, 0.3), for_next: optionalFlag }),
-  faultKind('late_commands', { ...timespan, share: v.optional(fraction, 0.3) }),
-  faultKind('cloud_outage', timespan),
-  faultKind('cloud_empty', timespan),
-  faultKind('late_rentals', { ...timespan, share: v.optional(fraction, 0.5) }),
-  faultKind('fast_boots', timespan),
-  faultKind('machine_deaf', { ...timespan, ...machineSelector }),
-  faultKind('machine_mute', { ...timespan, ...machineSelector }),
-  faultKind('machine_cut', { ...timespan, ...mode, ...machineSelector }),
-  faultKind('machine_hang', { ...timespan, ...machineSelector }),
-  faultKind('machine_sick', { ...timespan, ...machineSelector }),
-  faultKind('machine_slow', { ...timespan, ...machineSelector, times: v.optional(positiveNumber, 3) }),
-  faultKind('machine_end', { ...timing, ...machineSelector }),
-  faultKind('spot_wave', { ...timing, ...machineSelector, notice_s: v.optional(nonNegativeNumber, 10) }),
-  faultKind('cancel_now', {
-    ...timing,
-    count: v.optional(positiveInteger, 1),
-    hang_s: v.optional(nonNegativeNumber, 0),
-  }),
-  faultKind('cancel_at_end', { ...timespan, share: v.optional(fraction, 0.3) }),
-  faultKind('odd_requests', timespan),
-  faultKind('close_looks', timespan),
-  faultKind('surge', { ...timespan, class: nonEmptyString, times: v.optional(positiveNumber, 4) }),
-]);
-
 /** Schema of a whole scenario file. */
 export const scenarioSchema = v.strictObject({
   name: nonEmptyString,
@@ -241,5 +145,3 @@
 export type Fault = Scenario['faults'][number];
 /** A fault as written in a file; fields with defaults may be omitted. */
 export type FaultInput = NonNullable<ScenarioInput['faults']>[number];
-/** Name of an event that can trigger a fault. */
-export type EventName = (typeof EVENTS)[number];
--- a/src/simulation/service-faults.ts
+++ b/src/simulation/service-faults.ts
@@ -2,6 +2,7 @@
 import { selectNode, type EndFault, type FaultActivation, type FaultTarget } from './fault-target.js';
 
 const LATE_WRITE_DELAY_MS = { low: 2000, high: 12_000 };
+const REPEATED_WRITE_DELAY_MS = { low: 200, high: 30_000 };
 
 /** Begins a fault of the state service; returns undefined for other kinds. */
 export function applyToStore(target: FaultTarget, activation: FaultActivation): EndFault | undefined {
@@ -27,13 +28,23 @@
       };
       return () => (storeService.nextTransactionFault = () => ({ kind: 'normal' }));
     }
+    case 'repeated_writes': {
+      storeService.nextTransactionFault = () =>
+        random.chance(fault.share)
+          ? { kind: 'repeated', delayMs: random.within(REPEATED_WRITE_DELAY_MS) }
+          : { kind: 'normal' };
+      return () => (storeService.nextTransactionFault = () => ({ kind: 'normal' }));
+    }
     default:
       return undefined;
   }
 }
 
 /** Begins a fault of the cloud, or of messages between workers and controllers; returns undefined for other kinds. */
-export function applyToCloudAndLinks(target: FaultTarget, { fault }: FaultActivation): EndFault | undefined {
+export function applyToCloudAndLinks(
+  target: FaultTarget,
+  { fault, random }: FaultActivation,
+): EndFault | undefined {
   const { cloud, links } = target;
   switch (fault.kind) {
     case 'late_reports':
@@ -42,6 +53,14 @@
     case 'late_commands':
       links.lateCommandShare = fault.share;
       return () => (links.lateCommandShare = 0);
+    case 'repeated_commands': {
+      const { share, at_failover: heldUntilControllerEnds } = fault;
+      links.repeatedCommands.options = { share, heldUntilControllerEnds, random };
+      return () => (links.repeatedCommands.options = null);
+    }
+    case 'repeated_requests':
+      cloud.repeatedRequests = { share: fault.share, random };
+      return () => (cloud.repeatedRequests = null);
     case 'cloud_outage':
       cloud.outage = true;
       return () => (cloud.outage = false);
--- a/src/simulation/simulation.ts
+++ b/src/simulation/simulation.ts
@@ -91,7 +91,7 @@
   readonly users: Users;
   readonly arrivals: Arrivals;
   readonly faults: FaultSchedule;
-  readonly links = new WorkerLinks();
+  readonly links: WorkerLinks;
   readonly storeHost: Host;
   readonly userHost: Host;
   /** Share of jobs whose users cancel them at the moment their last task completes. */
@@ -107,33 +107,20 @@
   ) {
     const queue = options.runEnvironment?.queue ?? new EventQueue();
     this.queue = queue;
-    const { deployment } = scenario;
     this.random = new RandomStream(options.seed);
     this.trace = new Trace(queue, options.keepTrace ?? false);
     this.storeHost = new Host('state', null, queue);
     this.cloudHost = new Host('cloud', null, queue);
     this.userHost = new Host('users', null, queue);
     this.network = this.buildNetwork();
+    this.links = new WorkerLinks(scenario.deployment.lease_s * 1000);
     const defects: Defects = new Set(options.defects ?? []);
     this.storeService = this.buildStoreService(defects);
     this.cloud = this.buildCloud();
     this.invariantChecker = this.buildInvariantChecker();
     const observer = this.observer();
     this.nodes = this.buildNodes();
-    this.machines = new SimulatedMachines({
-      queue,
-      random: this.random.fork('machines'),
-      network: this.network,
-      trace: this.trace,
-      observer,
-      storage: this.storage,
-      gangs: this.buildGangs(observer),
-      nodes: this.nodes,
-      times: { heartbeatIntervalMs: deployment.report_s * 1000, leaseMs: deployment.lease_s * 1000 },
-      defects,
-      links: this.links,
-      cloud: () => this.cloud,
-    });
+    this.machines = this.buildMachines(observer, defects);
     this.users = this.buildUsers(observer);
     this.arrivals = new Arrivals(queue, this.random.fork('arrivals'), (job, cancelAfterMs) => {
       this.trace.add(`job ${job.id} arrives (${job.class}, ${job.tasks} tasks)`);
@@ -261,6 +248,24 @@
     });
   }
 
+  private buildMachines(observer: Observer, defects: Defects): SimulatedMachines {
+    const { report_s: reportS, lease_s: leaseS } = this.scenario.deployment;
+    return new SimulatedMachines({
+      queue: this.queue,
+      random: this.random.fork('machines'),
+      network: this.network,
+      trace: this.trace,
+      observer,
+      storage: this.storage,
+      gangs: this.buildGangs(observer),
+      nodes: this.nodes,
+      times: { heartbeatIntervalMs: reportS * 1000, leaseMs: leaseS * 1000 },
+      defects,
+      links: this.links,
+      cloud: () => this.cloud,
+    });
+  }
+
   private buildUsers(observer: Observer): Users {
     const { queue, network, trace } = this;
     const random = this.random.fork('balancer');
--- a/src/simulation/store-service.ts
+++ b/src/simulation/store-service.ts
@@ -22,7 +22,9 @@
   | { readonly kind: 'normal' }
   | { readonly kind: 'answer-lost' }
   /** The transaction is applied later and gets no answer. */
-  | { readonly kind: 'late'; readonly delayMs: number };
+  | { readonly kind: 'late'; readonly delayMs: number }
+  /** The transaction is applied and answered, and applied once more later if its conditions hold then. */
+  | { readonly kind: 'repeated'; readonly delayMs: number };
 
 /** Sends the answer to a request; if it is never called, the caller gets no answer. */
 export type Reply = (response: Response) => void;
@@ -147,13 +149,19 @@
     }
     const fault = operationCount === 0 ? { kind: 'normal' as const } : this.nextTransactionFault();
     if (fault.kind === 'late') {
-      this.queue.after(fault.delayMs, () => {
-        if (!this.outage) this.apply(from, body);
-      });
+      this.applyLater(from, body, fault.delayMs);
       return;
     }
     const response = this.apply(from, body);
-    if (fault.kind === 'normal') reply(response);
+    if (fault.kind === 'repeated' && response.status === HTTP_STATUS.ok)
+      this.applyLater(from, body, fault.delayMs);
+    if (fault.kind !== 'answer-lost') reply(response);
+  }
+
+  private applyLater(from: string, body: TransactionBody, delayMs: number): void {
+    this.queue.after(delayMs, () => {
+      if (!this.outage) this.apply(from, body);
+    });
   }
 
   private validationError(body: TransactionBody): string | null {
