Simulated copies of commands do not reach a machine that has ended

The new fault was wrong, not the controllers: network.exchange delivers nothing to a host that is down, the copies bypassed that check.

--- a/src/simulation/repeated-commands.ts
+++ b/src/simulation/repeated-commands.ts
@@ -56,6 +56,7 @@
   }
 }
 
+/** Delivers a copy unless the machine ends before. */
 function deliver({ host, execute }: AnsweredRequest, delayMs: number): void {
-  host.after(delayMs, execute);
+  if (host.up) host.after(delayMs, execute);
 }
