A worker forgets attempts only under a fencing token higher than all requests before

Cause: an answer was taken for the end of a command. A worker executes a copy of a request as long as token and agent epoch match, and a launch has no effect only while the worker lists the attempt. mayForget waited for launches without an answer alone; after `forget` of an answered one the copy started the task anew, wherever the task was by then.

Change: an acquisition takes a range of 1,024 tokens from c/token in the one write that it made already. The leader raises the token of a single machine within that range, without a write, with every message that makes it forget attempts. When the worker executes `forget` it has seen a token above those of all requests before, and refuses any copy of them. An answer to a heartbeat carries no `forget` while a direct request is on its way, which the higher token would make the worker refuse. When three quarters of the range are used for one machine, the shard takes the next one.

Why this holds: workers adopt the token before they execute the commands of a message, tokens of a machine never decrease, and all leaders' ranges differ. Commands that are harmless when repeated: stop and forget of an attempt that no request starts any more; gangs never use a machine twice in one attempt.

New in the logs: a warning and a counter when a worker lists an attempt again that it was told to forget (machine, task, attempt, both tokens, agent epoch), counts of sent commands, and lines for a higher token and for an earlier agent epoch in a heartbeat.

--- a/src/controller/periodic-work.ts
+++ b/src/controller/periodic-work.ts
@@ -38,7 +38,10 @@
   readonly progress: Pick<ProgressWriter, 'tick'>;
   readonly clusterClockWriter: Pick<ClusterClockWriter, 'tick'>;
   readonly autoscaler: Pick<Autoscaler, 'scaleOutShards' | 'scaleInShards'>;
-  readonly workers: Pick<WorkerService, 'expireLeases' | 'closeUnusedClients' | 'heartbeatRefusals'>;
+  readonly workers: Pick<
+    WorkerService,
+    'expireLeases' | 'closeUnusedClients' | 'heartbeatRefusals' | 'commandCounts'
+  >;
   readonly machineTransfers: Pick<MachineTransferService, 'expireCordons'>;
   readonly scheduler: Pick<Scheduler, 'eventCounts'>;
   readonly quotaTransfers: Pick<QuotaTransferService, 'shardQuota'>;
@@ -91,6 +94,7 @@
         completeUpTo,
         cacheAgeMs: now - confirmedAt,
         refusedHeartbeats: services.workers.heartbeatRefusals(),
+        commands: services.workers.commandCounts(),
         leadership: services.leadership.eventCounts(),
         scheduling: services.scheduler.eventCounts(),
         violations: context.invariants.violations.snapshot(),
--- a/src/leadership/leadership-transactions.ts
+++ b/src/leadership/leadership-transactions.ts
@@ -14,6 +14,7 @@
   shardKey,
   TOKEN_KEY,
 } from '../shards/codec.js';
+import { lastTokenOfRange } from '../shards/leadership-tokens.js';
 import type { Shard } from '../shards/model.js';
 import type { StoreCache } from '../store/cache.js';
 import type { CompareAndSwapResult } from '../store/client.js';
@@ -57,7 +58,7 @@
 
   constructor(private readonly context: LeadershipTransactionContext) {}
 
-  /** Makes this process the leader under the next fencing token. Returns whether it certainly succeeded. */
+  /** Makes this process the leader under the next range of fencing tokens. Returns whether it certainly succeeded. */
   async acquire(shard: ShardId, reason: AcquisitionReason): Promise<boolean> {
     const { context } = this;
     const { settings, storeCache, incarnation } = context;
@@ -75,7 +76,7 @@
         { key: shardKey(shard), version: storeCache.version(shardKey(shard)) },
       ],
       [
-        { op: 'put', key: TOKEN_KEY, value: encodeFencingToken(nextToken) },
+        { op: 'put', key: TOKEN_KEY, value: encodeFencingToken(lastTokenOfRange(nextToken)) },
         { op: 'put', key: shardKey(shard), value: encodeShardRecord(record) },
       ],
       RequestPriority.leadership,
--- a/src/leadership/leadership.ts
+++ b/src/leadership/leadership.ts
@@ -241,7 +241,7 @@
 
 /** Applies a changed record of a shard that this process leads. All machines must be sent the new fencing token. */
 function adoptRecord(shard: Shard, acquiredToken: FencingToken, version: Revision): void {
-  shard.adoptFencingToken(acquiredToken);
+  shard.tokens.adopt(acquiredToken);
   for (const machine of shard.machines.values()) shard.machinesWithPendingCommands.add(machine);
   shard.version = version;
 }
--- a/src/scheduling/gangs.ts
+++ b/src/scheduling/gangs.ts
@@ -25,7 +25,7 @@
     history: job.gangHistory,
     isFinished: !job.finished.isEmpty,
     hasUnaccountedTasks: [job.unaccounted, job.unconfirmed, job.transferring].some((tasks) => !tasks.isEmpty),
-    isIssuedByThisLeader: (attempt) => shard.issuedAttempt(attempt),
+    isIssuedByThisLeader: (attempt) => shard.tokens.issuedAttempt(attempt),
     gangWaitTimeout: millis(context.gangWaitMs),
   });
 }
--- a/src/scheduling/task-allocator.ts
+++ b/src/scheduling/task-allocator.ts
@@ -76,7 +76,7 @@
     const gangAttempts = new Map<JobId, Attempt>();
     for (const start of starts) {
       if (this.reportViolation(shard, start)) continue;
-      const attempt = start.attempt ?? gangAttempts.get(start.job.id) ?? shard.nextAttempt();
+      const attempt = start.attempt ?? gangAttempts.get(start.job.id) ?? shard.tokens.nextAttempt();
       if (start.job.gangHistory) gangAttempts.set(start.job.id, attempt);
       this.start(shard, start, attempt, now);
     }
--- a/src/shards/allocation-changes.ts
+++ b/src/shards/allocation-changes.ts
@@ -103,7 +103,7 @@
  */
 function requeue(shard: Shard, job: ShardJob, { index, attempt }: Allocation): void {
   if (job.gangHistory) job.gangHistory.mayHaveStarted = true;
-  if (!shard.reconciled && !shard.issuedAttempt(attempt)) {
+  if (!shard.reconciled && !shard.tokens.issuedAttempt(attempt)) {
     job.unaccounted.add(index);
     shard.unreconciled.requestRecheck();
     return;
--- a/src/shards/machine.ts
+++ b/src/shards/machine.ts
@@ -43,6 +43,8 @@
   sequence: Sequence;
   /** The fencing token of the leader that the worker obeys. */
   fencingToken: FencingToken;
+  /** The token that this leader raised for this machine alone; 0: none. Changed only by `LeadershipTokens`. */
+  raisedToken: FencingToken;
   /** Messages of earlier agent epochs list tasks that are certainly gone: they are refused. Raised on lease expiry. */
   minimumAgentEpoch: AgentEpoch;
   /** When the last heartbeat or answer to a direct command arrived; null: none yet. Changed by reconciliation. */
@@ -133,6 +135,7 @@
     agentEpoch: 0 as AgentEpoch,
     sequence: 0 as Sequence,
     fencingToken: 0 as FencingToken,
+    raisedToken: 0 as FencingToken,
     minimumAgentEpoch: 0 as AgentEpoch,
     lastMessageAt: null,
     continuousHeartbeatsSince: null,
--- a/src/shards/shard.ts
+++ b/src/shards/shard.ts
@@ -8,12 +8,12 @@
 import { ImageAnnouncements } from './image-announcements.js';
 import type { ShardJob } from './job.js';
 import type { Allocation } from './allocation.js';
+import { LeadershipTokens } from './leadership-tokens.js';
 import type { Machine } from './machine.js';
 import { RecordConfirmation } from './record-confirmation.js';
 import { ShardTotals } from './totals.js';
 import { UnreconciledMachines } from './unreconciled-machines.js';
 import type {
-  Attempt,
   ImageId,
   JobId,
   MachineId,
@@ -26,11 +26,6 @@
   InstanceTypeId,
 } from '../model/units.js';
 
-/** How many attempt numbers there are for each fencing token. */
-const ATTEMPTS_PER_TOKEN = 2 ** 20;
-/** A new fencing token is needed when this many attempt numbers are left. */
-const ATTEMPTS_LEFT_AT_RENEWAL = ATTEMPTS_PER_TOKEN / 4;
-
 /** A search for preemption victims that found none. */
 export interface FailedPreemptionSearch {
   /** The capacity that preemption was to free. */
@@ -76,25 +71,25 @@
   readonly unreconciled = new UnreconciledMachines();
   /** Tracks which records this leader may act on. */
   private readonly confirmation = new RecordConfirmation();
-  private attemptCounter = 0;
-  private readonly firstFencingToken: FencingToken;
+  /** Issues the fencing tokens of commands and the numbers of attempts. */
+  readonly tokens: LeadershipTokens;
   /** Revision at which the shard was acquired: an earlier leader may have acted on all records up to it. */
   readonly acquiredVersion: Revision;
   private readonly imageAnnouncements = new ImageAnnouncements(this.machines);
 
   /**
-   * @param currentFencingToken fencing token under which the shard was acquired
+   * @param fencingToken fencing token under which the shard was acquired
    * @param version revision of the shard's record, on which the leader's writes are conditional
    * @param types the catalog, kept up to date by its owner
    */
   constructor(
     readonly id: ShardId,
-    private currentFencingToken: FencingToken,
+    fencingToken: FencingToken,
     public version: Revision,
     readonly acquiredAt: SteadyMs,
     readonly types: ReadonlyMap<InstanceTypeId, InstanceType>,
   ) {
-    this.firstFencingToken = currentFencingToken;
+    this.tokens = new LeadershipTokens(fencingToken);
     this.acquiredVersion = version;
   }
 
@@ -212,38 +207,8 @@
     }
   }
 
-  /** Sent with every command: a worker obeys only the leader with the highest token that it has seen. */
+  /** The token under which this leader acquired the shard last; `tokens` knows the token of each machine. */
   get fencingToken(): FencingToken {
-    return this.currentFencingToken;
-  }
-
-  /** Adopts a higher fencing token of this leader: attempts under it have larger numbers than all earlier attempts. */
-  adoptFencingToken(fencingToken: FencingToken): void {
-    if (fencingToken <= this.currentFencingToken) return;
-    this.currentFencingToken = fencingToken;
-    this.attemptCounter = 0;
-  }
-
-  /**
-   * Whether few attempt numbers are left: the numbers after them belong to the next token, perhaps of another leader.
-   */
-  get needsNewFencingToken(): boolean {
-    return this.attemptCounter >= ATTEMPTS_PER_TOKEN - ATTEMPTS_LEFT_AT_RENEWAL;
-  }
-
-  /**
-   * Returns a number that is unique among all starts of tasks on all controllers: only this leader has the fencing
-   * token, and the counter never decreases. Throws when all numbers of the token have been used.
-   */
-  nextAttempt(): Attempt {
-    if (this.attemptCounter >= ATTEMPTS_PER_TOKEN - 1)
-      throw new Error(`shard ${this.id} has used all attempts of its fencing token`);
-    this.attemptCounter += 1;
-    return (this.fencingToken * ATTEMPTS_PER_TOKEN + this.attemptCounter) as Attempt;
-  }
-
-  /** Whether this leader started the attempt after it acquired the shard. */
-  issuedAttempt(attempt: Attempt): boolean {
-    return attempt >= this.firstFencingToken * ATTEMPTS_PER_TOKEN;
+    return this.tokens.current;
   }
 }
--- a/src/workers/commands.ts
+++ b/src/workers/commands.ts
@@ -1,9 +1,10 @@
 /**
  * Selects the commands to send to a worker, in the answer to its heartbeat or in a direct request, and marks launches
- * as sent. Every command may be repeated, except a launch after its `forget`: `release-rules.ts` prevents that.
+ * as sent. Any request that a worker has executed may reach it again. A copy of a launch has no effect while the worker
+ * lists the attempt; a message that makes it forget an attempt therefore raises its fencing token, under which it refuses
+ * all requests that were sent before.
  */
-import type { Log } from '../logging/log.js';
-import { taskId, type Seconds } from '../model/units.js';
+import type { Seconds } from '../model/units.js';
 import type { Allocation, Machine, Shard } from '../shards/model.js';
 import { mayForget, type ResultRecords } from './release-rules.js';
 import type { WorkerCommand } from './wire.js';
@@ -36,6 +37,12 @@
   grace: (stop?.grace ?? 0) as Seconds,
 });
 
+/** Returns the `forget` commands of a message to the worker, and raises the fencing token of the message if it has any. */
+function takeForgetCommands(shard: Shard, machine: Machine, records: ResultRecords): WorkerCommand[] {
+  const commands = forgetCommands(machine, records);
+  return commands.length > 0 && shard.tokens.raiseTokenOf(machine) ? commands : [];
+}
+
 function forgetCommands(machine: Machine, records: ResultRecords): WorkerCommand[] {
   const commands: WorkerCommand[] = [];
   for (const exitedTask of machine.exitedTasks.values()) {
@@ -47,28 +54,13 @@
   return commands;
 }
 
-/** Logs which results a worker is told to forget: from then on only the store shows that these tasks have ended. */
-export function logForgotten(
-  log: Log,
-  shard: Shard,
-  machine: Machine,
-  commands: readonly WorkerCommand[],
-): void {
-  for (const { kind, job, index, attempt } of commands) {
-    if (kind !== 'forget') continue;
-    const id = taskId(job, index);
-    const { fencingToken } = shard;
-    const cause = machine.exitedTasks.get(id)?.cause ?? null;
-    log.debug({ task: id, machine: machine.id, attempt, cause, fencingToken }, 'forget');
-  }
-}
-
 /**
  * Returns the commands for the answer to a heartbeat, including those that were sent before and that the worker's
  * status does not reflect yet. Marks launches as sent in this answer.
  */
-export function commandsInReply(machine: Machine, records: ResultRecords): WorkerCommand[] {
-  const commands = forgetCommands(machine, records);
+export function commandsInReply(shard: Shard, machine: Machine, records: ResultRecords): WorkerCommand[] {
+  // A higher token in this answer would make the worker refuse the direct request that is on its way.
+  const commands = machine.directRequestInFlight ? [] : takeForgetCommands(shard, machine, records);
   for (const allocation of machine.allocations.values()) {
     if (commands.length >= MAX_COMMANDS) break;
     if (allocation.stop) commands.push(stopCommand(allocation));
@@ -85,7 +77,7 @@
  * Returns the stops and launches that are due for a direct request, and marks them as sent. `forget` commands are added
  * only to a request that has at least one of these.
  */
-export function takeDirectCommands(machine: Machine, records: ResultRecords): CommandBatch {
+export function takeDirectCommands(shard: Shard, machine: Machine, records: ResultRecords): CommandBatch {
   const stops: WorkerCommand[] = [];
   const launches: Allocation[] = [];
   for (const allocation of machine.allocations.values()) {
@@ -100,7 +92,7 @@
     }
   }
   if (stops.length + launches.length === 0) return FENCING_TOKEN_ONLY;
-  const commands = [...stops, ...forgetCommands(machine, records), ...launches.map(startCommand)];
+  const commands = [...stops, ...takeForgetCommands(shard, machine, records), ...launches.map(startCommand)];
   return { commands: commands.slice(0, MAX_COMMANDS * 2), launches };
 }
 
--- a/src/workers/direct-commands.ts
+++ b/src/workers/direct-commands.ts
@@ -10,7 +10,7 @@
 import type { Clock, SteadyMs } from '../model/units.js';
 import { millis, plus } from '../model/units.js';
 import { DIRECT_CALL_SHARE, type WorkerClients } from './clients.js';
-import { FENCING_TOKEN_ONLY, logForgotten, takeDirectCommands, type CommandBatch } from './commands.js';
+import { FENCING_TOKEN_ONLY, takeDirectCommands, type CommandBatch } from './commands.js';
 import type { ShardUpdates } from './shard-updates.js';
 import { reconcileHeartbeat } from './reconciliation.js';
 import { hasUnacknowledgedLaunch, type ResultRecords } from './release-rules.js';
@@ -78,8 +78,8 @@
   private async send(shard: Shard, machine: Machine, { commands, launches }: CommandBatch): Promise<void> {
     machine.directRequestInFlight = true;
     this.activeCalls += 1;
-    logForgotten(this.controller.log, shard, machine, commands);
-    const sent = { fencingToken: shard.fencingToken, agentEpoch: machine.agentEpoch };
+    this.shardUpdates.sentCommands.record(shard, machine, commands);
+    const sent = { fencingToken: shard.tokens.tokenOf(machine), agentEpoch: machine.agentEpoch };
     const outcome = await this.clients.clientFor(machine.address).call({
       method: 'POST',
       path: WorkerPath.commands,
@@ -128,13 +128,13 @@
 function nextCall(shard: Shard, machine: Machine, now: SteadyMs, records: ResultRecords): NextCall {
   if (machine.scalingIn) return IDLE;
   if (machine.directRequestInFlight || machine.address === '') return WAIT;
-  const tokenIsOutdated = shard.fencingToken > machine.fencingToken;
+  const tokenIsOutdated = shard.tokens.tokenOf(machine) > machine.fencingToken;
   const mayRetry = now >= machine.quarantinedUntil;
   if (!machine.reconciled && tokenIsOutdated) return mayRetry ? SEND_FENCING_TOKEN : WAIT;
   if (machine.unreachableSince !== null)
-    return mayRetry ? { kind: 'send', batch: takeDirectCommands(machine, records) } : WAIT;
+    return mayRetry ? { kind: 'send', batch: takeDirectCommands(shard, machine, records) } : WAIT;
   if (machine.lastMessageAt === null) return IDLE;
-  const batch = takeDirectCommands(machine, records);
+  const batch = takeDirectCommands(shard, machine, records);
   if (batch.commands.length > 0) return { kind: 'send', batch };
   if (!tokenIsOutdated || !hasUnacknowledgedLaunch(machine, () => true)) return IDLE;
   return mayRetry ? SEND_FENCING_TOKEN : WAIT;
--- a/src/workers/heartbeat-handler.ts
+++ b/src/workers/heartbeat-handler.ts
@@ -13,7 +13,7 @@
 import { elapsed, millis } from '../model/units.js';
 import type { FencingTokenIssuer } from './lease-expiry.js';
 import type { MachineRegistration } from './registration.js';
-import { commandsInReply, logForgotten } from './commands.js';
+import { commandsInReply } from './commands.js';
 import type { ShardUpdates } from './shard-updates.js';
 import { reconcileHeartbeat } from './reconciliation.js';
 import type { ResultRecords } from './release-rules.js';
@@ -119,8 +119,8 @@
     const now = this.controller.clock.now();
     // The worker has accepted commands from another controller. It would discard a 200 with a lower fencing token, and
     // keep sending heartbeats here until its lease expires.
-    if (heartbeat.fencingToken > shard.fencingToken) {
-      this.raiseFencingToken(shard, now);
+    if (heartbeat.fencingToken > shard.tokens.tokenOf(machine)) {
+      this.raiseFencingToken(shard, machine, heartbeat, now);
       return this.refuse('higher fencing token', {
         status: WorkerStatus.notLeader,
         body: encodeRedirect(null),
@@ -136,15 +136,25 @@
 
   private renewLease(shard: Shard, machine: Machine, heartbeat: Heartbeat, now: SteadyMs): HttpResponse {
     const context = this.shardUpdates.reconciliationContext(now);
-    if (!reconcileHeartbeat(shard, machine, heartbeat, 'heartbeat', context)) return this.refuse('outdated');
-    const commands = commandsInReply(machine, this.controller);
-    logForgotten(this.controller.log, shard, machine, commands);
+    if (!reconcileHeartbeat(shard, machine, heartbeat, 'heartbeat', context))
+      return this.refuseOutdated(machine, heartbeat);
+    const commands = commandsInReply(shard, machine, this.controller);
+    this.shardUpdates.sentCommands.record(shard, machine, commands);
     if (!machine.reconciled) {
       shard.machinesWithPendingCommands.add(machine);
       machine.answeredUnreconciledAt ??= now;
     }
     this.shardUpdates.onShardChanged(shard);
-    return { status: WorkerStatus.ok, body: encodeReply(shard.fencingToken, commands) };
+    return { status: WorkerStatus.ok, body: encodeReply(shard.tokens.tokenOf(machine), commands) };
+  }
+
+  private refuseOutdated(machine: Machine, { agentEpoch, sequence }: Heartbeat): HttpResponse {
+    if (agentEpoch < machine.agentEpoch)
+      this.controller.log.info(
+        { machine: machine.id, agentEpoch, sequence, newestAgentEpoch: machine.agentEpoch },
+        'heartbeat of an earlier agent epoch refused',
+      );
+    return this.refuse('outdated');
   }
 
   /**
@@ -170,9 +180,15 @@
    * Requests a new fencing token above the one that the worker has seen; this succeeds if the store still shows this
    * controller as the leader. Not awaited: the worker is redirected at once, and retries here later.
    */
-  private raiseFencingToken(shard: Shard, now: SteadyMs): void {
+  private raiseFencingToken(shard: Shard, machine: Machine, heartbeat: Heartbeat, now: SteadyMs): void {
     if (this.tokenRaisedAt !== null && elapsed(now, this.tokenRaisedAt) < TOKEN_RAISE_INTERVAL_MS) return;
     this.tokenRaisedAt = now;
+    const { fencingToken: reportedToken, agentEpoch } = heartbeat;
+    const fencingToken = shard.tokens.tokenOf(machine);
+    this.controller.log.info(
+      { shard: shard.id, machine: machine.id, reportedToken, fencingToken, agentEpoch },
+      'worker has seen a higher fencing token',
+    );
     void this.leadership.raiseFencingToken(shard);
   }
 
--- a/src/workers/lease-expiry.ts
+++ b/src/workers/lease-expiry.ts
@@ -92,7 +92,7 @@
       );
       void this.tokenIssuer.raiseFencingToken(shard);
     }
-    if (shard.needsNewFencingToken) void this.tokenIssuer.raiseFencingToken(shard);
+    if (shard.tokens.needsNewRange) void this.tokenIssuer.raiseFencingToken(shard);
   }
 
   /**
@@ -100,11 +100,11 @@
    * cause the token to be raised again and again.
    */
   private hasOverdueLaunch(shard: Shard, now: SteadyMs): boolean {
-    const isOverdue = (launch: UnacknowledgedLaunch): boolean =>
-      launch.fencingToken >= shard.fencingToken &&
-      elapsed(now, launch.sentAt) > UNACKNOWLEDGED_LAUNCH_TIMEOUT_MS;
     for (const machine of shard.machines.values()) {
-      if (this.isSilent(machine, now) || machine.fencingToken > shard.fencingToken) continue;
+      const token = shard.tokens.tokenOf(machine);
+      const isOverdue = (launch: UnacknowledgedLaunch): boolean =>
+        launch.fencingToken >= token && elapsed(now, launch.sentAt) > UNACKNOWLEDGED_LAUNCH_TIMEOUT_MS;
+      if (this.isSilent(machine, now) || machine.fencingToken > token) continue;
       if (hasUnacknowledgedLaunch(machine, isOverdue)) return true;
     }
     return false;
--- a/src/workers/reconciliation.ts
+++ b/src/workers/reconciliation.ts
@@ -127,7 +127,10 @@
     seen.add(id);
     const expected = expectedAllocation(shard, machine, id, task);
     if (expected?.attempt === task.attempt) updatePhase(shard, machine, expected, task.state, context);
-    else recordUnexpectedTask(shard, machine, id, task, expected, context);
+    else {
+      context.onUnexpectedTask(heartbeat, task);
+      recordUnexpectedTask(shard, machine, id, task, expected, context);
+    }
   }
   for (const allocation of [...machine.allocations.values()])
     if (!seen.has(allocation.id)) reconcileAbsentTask(shard, machine, allocation, channel, context);
--- a/src/workers/release-rules.ts
+++ b/src/workers/release-rules.ts
@@ -88,7 +88,7 @@
 ): UnacknowledgedLaunch | null {
   if (expected.unacknowledged) return expected.unacknowledged;
   if (!expected.launchInFlight && expected.launchAnswerSequence === null) return null;
-  return { fencingToken: shard.fencingToken, agentEpoch: machine.agentEpoch, sentAt: now };
+  return { fencingToken: shard.tokens.tokenOf(machine), agentEpoch: machine.agentEpoch, sentAt: now };
 }
 
 /** Returns whether an allocation or an exited task of the machine has an unacknowledged launch that `matches`. */
--- a/src/workers/service.ts
+++ b/src/workers/service.ts
@@ -74,6 +74,11 @@
     return this.heartbeatHandler.refusals.snapshot();
   }
 
+  /** Returns the number of commands sent since the process started, by kind, and of forgotten attempts listed again. */
+  commandCounts(): Readonly<Record<string, number>> {
+    return this.shardUpdates.sentCommands.counts();
+  }
+
   /** Applies a change of a machine's record in the watch cache; `record` is null if it was deleted. */
   onMachineChanged(id: MachineId, record: MachineRecord | null, version: Revision): void {
     for (const shard of this.controller.shards.values()) {
--- a/src/workers/shard-updates.ts
+++ b/src/workers/shard-updates.ts
@@ -9,6 +9,7 @@
 import type { JobId, SteadyMs } from '../model/units.js';
 import { elapsed, millis } from '../model/units.js';
 import type { ReconciliationContext } from './reconciliation.js';
+import { SentCommands } from './sent-commands.js';
 
 /**
  * A worker that is silent for this many heartbeat intervals plus `HEARTBEAT_TIMEOUT_MARGIN_MS` is assumed to have
@@ -33,10 +34,14 @@
 
 /** Runs the follow-up work after a change of a shard's machines or allocations. */
 export class ShardUpdates {
+  readonly sentCommands: SentCommands;
+
   constructor(
     private readonly controller: ShardUpdatesDependencies,
     private readonly runtimeSamples: RuntimeSamples,
-  ) {}
+  ) {
+    this.sentCommands = new SentCommands(controller.log);
+  }
 
   /** Creates the context for reconciling a heartbeat that was received at `now`. */
   reconciliationContext(now: SteadyMs): ReconciliationContext {
@@ -46,6 +51,7 @@
       log,
       endedJobSpec: (job) => recentlyEndedJobs.get(job) ?? null,
       isRecordUnreadable: (job) => this.controller.isRecordUnreadable(job),
+      onUnexpectedTask: (heartbeat, task) => this.sentCommands.checkUnexpected(heartbeat, task),
       onTaskDone: (allocation) => this.recordRuntime(allocation, now),
       heartbeatTimeout: millis(
         HEARTBEAT_TIMEOUT_INTERVALS * heartbeatIntervalMs + HEARTBEAT_TIMEOUT_MARGIN_MS,
--- a/src/workers/task-exits.ts
+++ b/src/workers/task-exits.ts
@@ -17,13 +17,15 @@
   type Shard,
   type ShardJob,
 } from '../shards/model.js';
-import type { ExitedTaskStatus, Heartbeat } from './wire.js';
+import type { ExitedTaskStatus, Heartbeat, TaskStatus } from './wire.js';
 
 /** The parts of the controller that are used when a task has exited. */
 export interface TaskExitContext {
   readonly now: SteadyMs;
   readonly onTaskDone: (allocation: Allocation) => void;
   readonly log: Log;
+  /** Called for an attempt that is not expected on the machine and that its previous status did not list. */
+  readonly onUnexpectedTask: (heartbeat: Heartbeat, task: TaskStatus) => void;
 }
 
 /** No task is placed for this time on a machine that has refused a task for lack of capacity. */
@@ -64,7 +66,10 @@
     if (allocation) {
       seen.add(id);
       onTaskExited(shard, machine, allocation, task, context);
-    } else if (task.cause === 'done') markFinished(shard, task);
+      continue;
+    }
+    if (previous?.attempt !== task.attempt) context.onUnexpectedTask(heartbeat, task);
+    if (task.cause === 'done') markFinished(shard, task);
   }
   return exitedTasks;
 }
--- a/test/cluster/recorded-fault-histories.test.ts
+++ b/test/cluster/recorded-fault-histories.test.ts
@@ -394,11 +394,14 @@
   assertTraceMatches(cluster, 'share-being-given');
 });
 
+/** Above the ranges that the controllers of a test acquire. */
+const NEVER_ISSUED_TOKEN = 1_000_000;
+
 test('a worker that has seen a higher fencing token gets 421: after a 200 it would stay at that node while its lease expires', async () => {
   const cluster = await startClusterWithMachines('east', 'west', 'east');
   await cluster.step(2000);
   const last = cluster.sentHeartbeats.get('m-0')?.at(-1) as { logNo: number };
-  const newer = { ...last, logNo: last.logNo + 1000, helm: 99 };
+  const newer = { ...last, logNo: last.logNo + 1000, helm: NEVER_ISSUED_TOKEN };
   const answers = await Promise.all(
     [0, 1, 2].map((node) => cluster.request(node, 'POST', '/agent/beat', newer)),
   );
--- a/test/cluster/rolling-upgrade.test.ts
+++ b/test/cluster/rolling-upgrade.test.ts
@@ -16,71 +16,18 @@
   toProductionRecord,
   toProductionTeam,
   WORKING_BUILD,
-  type ControllerBuild,
   type ProductionRecords,
   type ProductionQuotas,
   type ProductionShardRecords,
 } from '../support/controller-builds.js';
 import { buildJobSpec, buildTeam } from '../support/job-specs.js';
-import { SMALL_CLUSTER, SimulatedCluster, type ClusterConfig } from '../support/simulated-cluster.js';
+import { SMALL_CLUSTER, type ClusterConfig } from '../support/simulated-cluster.js';
+import { assertAllDone, restart, startClusterOf, submitJobs } from '../support/upgrade-cluster.js';
 
 const production = await loadProductionBuild();
 
-/** Starts a cluster whose controllers all run the production build. */
-async function startProductionCluster(
-  config: ClusterConfig = SMALL_CLUSTER,
-): Promise<{ cluster: SimulatedCluster; builds: ControllerBuild[] }> {
-  const cluster = new SimulatedCluster(config);
-  const builds = config.zones.map(() => production);
-  cluster.buildOf = (node) => builds[node] ?? production;
-  for (let i = 0; i < 6; i += 1) cluster.addWorker(i % 2 ? 'small' : 'large', i % 3 === 2 ? 'west' : 'east');
-  await cluster.start();
-  return { cluster, builds };
-}
-
-/** Submits three jobs through different nodes, and cancels one of them through another node. */
-async function submitJobs(cluster: SimulatedCluster, round: number): Promise<void> {
-  const aliveNodes = cluster.nodes.map((_, node) => node).filter((node) => cluster.nodes[node]?.handler);
-  const pickNode = (i: number): number => aliveNodes[i % aliveNodes.length] ?? 0;
-  await cluster.submit(pickNode(round), `req-a${round}`, { tasks: 3, runMs: 4000 });
-  await cluster.submit(pickNode(round + 1), `req-s${round}`, {
-    service: true,
-    tasks: 1,
-    cpus: 1,
-    team: 'blue',
-  });
-  await cluster.submit(pickNode(round + 2), `req-c${round}`, { tasks: 2, runMs: 30_000, team: 'blue' });
-  await cluster.step(1000);
-  await cluster.sendUserRequest(pickNode(round + 1), 'POST', `/v2/runs/req-c${round}/abort`);
-}
-
-async function restart(cluster: SimulatedCluster, node: number): Promise<void> {
-  cluster.killNode(node);
-  await cluster.step(1500);
-  await cluster.startNode(node);
-  await cluster.step(2500);
-}
-
-async function assertAllDone(cluster: SimulatedCluster, rounds: number): Promise<void> {
-  await cluster.step(25_000);
-  for (let round = 0; round < rounds; round += 1) {
-    for (const node of cluster.nodes.keys()) {
-      assert.equal(
-        (await cluster.sendUserRequest(node, 'GET', `/v2/runs/req-a${round}`)).body['status'],
-        'done',
-      );
-      assert.equal(
-        (await cluster.sendUserRequest(node, 'GET', `/v2/runs/req-c${round}`)).body['status'],
-        'cancelled',
-      );
-      assert.equal(
-        (await cluster.sendUserRequest(node, 'GET', `/v2/runs/req-s${round}`)).body['status'],
-        'running',
-      );
-    }
-  }
-  assert.deepEqual(cluster.violations, []);
-}
+const startProductionCluster = (config?: ClusterConfig): ReturnType<typeof startClusterOf> =>
+  startClusterOf(production, config);
 
 for (const order of [
   [0, 1, 2],
--- a/test/cluster/scale-limits.test.ts
+++ b/test/cluster/scale-limits.test.ts
@@ -14,19 +14,19 @@
 test('attempt numbers of one fencing token stay below those of the next, and a new token is requested in time', () => {
   const shard = new Shard(0 as never, 7 as never, 1 as never, 0 as never, new Map());
   let last = 0;
-  for (let i = 0; i < ATTEMPTS_PER_TOKEN * 0.7; i += 1) last = shard.nextAttempt();
-  assert.equal(shard.needsNewFencingToken, false);
-  for (let i = 0; i < ATTEMPTS_PER_TOKEN * 0.1; i += 1) last = shard.nextAttempt();
-  assert.equal(shard.needsNewFencingToken, true);
+  for (let i = 0; i < ATTEMPTS_PER_TOKEN * 0.7; i += 1) last = shard.tokens.nextAttempt();
+  assert.equal(shard.tokens.needsNewRange, false);
+  for (let i = 0; i < ATTEMPTS_PER_TOKEN * 0.1; i += 1) last = shard.tokens.nextAttempt();
+  assert.equal(shard.tokens.needsNewRange, true);
   assert.throws(() => {
-    for (;;) last = shard.nextAttempt();
+    for (;;) last = shard.tokens.nextAttempt();
   }, /used all attempts/);
   assert.ok(last < 8 * ATTEMPTS_PER_TOKEN, 'no attempt belongs to another token');
-  shard.adoptFencingToken(9 as FencingToken);
-  assert.equal(shard.needsNewFencingToken, false);
-  const next = shard.nextAttempt();
+  shard.tokens.adopt(9 as FencingToken);
+  assert.equal(shard.tokens.needsNewRange, false);
+  const next = shard.tokens.nextAttempt();
   assert.ok(next > last);
-  assert.ok(shard.issuedAttempt(next));
+  assert.ok(shard.tokens.issuedAttempt(next));
 });
 
 /** Returns a page of the cloud's list of machines. */
--- a/test/controller/periodic-work.test.ts
+++ b/test/controller/periodic-work.test.ts
@@ -22,6 +22,7 @@
       expireLeases: record('expire leases'),
       closeUnusedClients: record('close clients'),
       heartbeatRefusals: () => ({}),
+      commandCounts: () => ({}),
     },
     machineTransfers: { expireCordons: record('expire cordons') },
     scheduler: { eventCounts: () => ({}) },
--- a/test/jobs/unreadable-records.test.ts
+++ b/test/jobs/unreadable-records.test.ts
@@ -17,8 +17,9 @@
 import { LeadershipTransactions } from '../../src/leadership/leadership-transactions.js';
 import { silentLog } from '../../src/logging/log.js';
 import { RangeSet } from '../../src/model/ranges.js';
-import { revision, steady, taskId, taskIndex } from '../../src/model/units.js';
+import { fencingToken, revision, steady, taskId, taskIndex } from '../../src/model/units.js';
 import { TOKEN_KEY } from '../../src/shards/codec.js';
+import { lastTokenOfRange } from '../../src/shards/leadership-tokens.js';
 import { StoreCache } from '../../src/store/cache.js';
 import { buildShard } from '../support/shard-builder.js';
 import { syncConfirmedJob } from '../support/confirmed-job.js';
@@ -127,5 +128,8 @@
   assert.equal(await acquireWith({ token: 8 }), true);
   assert.equal(await acquireWith(undefined), true);
   for (const value of [{ token: 'x' }, {}, null]) assert.equal(await acquireWith(value), false);
-  assert.deepEqual(tokens, [{ token: 9 }, { token: 1 }]);
+  assert.deepEqual(
+    tokens,
+    [9, 1].map((first) => ({ token: lastTokenOfRange(fencingToken(first)) })),
+  );
 });
--- a/test/leadership/leadership.test.ts
+++ b/test/leadership/leadership.test.ts
@@ -10,6 +10,7 @@
   shardKey,
   TOKEN_KEY,
 } from '../../src/shards/codec.js';
+import { TOKENS_PER_ACQUISITION } from '../../src/shards/leadership-tokens.js';
 import type { Shard } from '../../src/shards/model.js';
 import { StoreCache } from '../../src/store/cache.js';
 import type { CompareAndSwapResult } from '../../src/store/client.js';
@@ -137,7 +138,7 @@
     { key: shardKey(HOME_SHARD), version: 0 },
   ]);
   assert.deepEqual(request.changes, [
-    { op: 'put', key: TOKEN_KEY, value: { token: 7 } },
+    { op: 'put', key: TOKEN_KEY, value: { token: 6 + TOKENS_PER_ACQUISITION } },
     { op: 'put', key: shardKey(HOME_SHARD), value: { owner: 'n0', incarnation: 'n0-1', token: 7 } },
   ]);
   request.answer({ kind: 'done', revision: revision(9) });
--- a/test/soak/soak-surroundings.ts
+++ b/test/soak/soak-surroundings.ts
@@ -145,15 +145,16 @@
 
   private readonly hostByToken = new Map<number, Host>();
 
-  /** Records which controller acquired a fencing token. */
+  /** Records which controller acquired a range of fencing tokens; the range ends before the next recorded token. */
   recordToken(token: number, node: string): void {
     const host = this.nodes.find((candidate) => candidate.name === node)?.host;
     if (host) this.hostByToken.set(token, host);
   }
 
-  /** Returns the host of the controller that acquired a token, or the users' host if the token is unknown. */
-  private hostWithToken(simulation: Simulation, token: number | undefined): Host {
-    return this.hostByToken.get(token ?? -1) ?? simulation.userHost;
+  /** Returns the host of the controller that acquired the token's range, or the users' host if the token is unknown. */
+  private hostWithToken(simulation: Simulation, token = -1): Host {
+    const firstTokens = [...this.hostByToken.keys()].filter((first) => first <= token);
+    return this.hostByToken.get(Math.max(...firstTokens)) ?? simulation.userHost;
   }
 
   close(): void {
--- a/test/support/cycle-runner.ts
+++ b/test/support/cycle-runner.ts
@@ -103,7 +103,7 @@
       id: `${spec.id}/${index}`,
       job: spec.id,
       index,
-      attempt: this.shard.nextAttempt(),
+      attempt: this.shard.tokens.nextAttempt(),
       machine: machine.id,
       spec,
       phase: 'running',
--- a/test/support/shard-builder.ts
+++ b/test/support/shard-builder.ts
@@ -84,7 +84,7 @@
     id: taskId(job, taskIndex(index)),
     job,
     index: taskIndex(index),
-    attempt: shard.nextAttempt(),
+    attempt: shard.tokens.nextAttempt(),
     machine: machine.id,
     spec: buildJobSpec(),
     phase: 'running',
--- a/test/support/shard-fixture.ts
+++ b/test/support/shard-fixture.ts
@@ -179,6 +179,7 @@
       endedJobSpec: () => null,
       isRecordUnreadable: (job) => this.unreadableJobs.has(job),
       onTaskDone: () => undefined,
+      onUnexpectedTask: () => undefined,
       heartbeatTimeout: millis(1e9),
       log: silentLog(),
     });
@@ -195,7 +196,7 @@
 
   /** Returns the commands in the answer to the machine's last heartbeat as text. */
   pendingCommands(machine = this.machine): string {
-    return commandsInReply(machine, this.records)
+    return commandsInReply(this.shard, machine, this.records)
       .map((command) => `${command.kind} ${command.index}@${command.attempt}`)
       .join(', ');
   }
--- a/test/workers/direct-commands.test.ts
+++ b/test/workers/direct-commands.test.ts
@@ -4,6 +4,7 @@
 
 import type { Call, CallOutcome } from '../../src/http/client.js';
 import { silentLog } from '../../src/logging/log.js';
+import { attempt } from '../../src/model/units.js';
 import { DirectCommands } from '../../src/workers/direct-commands.js';
 import { ShardUpdates } from '../../src/workers/shard-updates.js';
 import { ShardFixture, SHARD_FENCING_TOKEN } from '../support/shard-fixture.js';
@@ -99,3 +100,16 @@
   fixture.mayCommand = false;
   assert.equal(fixture.calls[0]?.mayStillSend?.(), false);
 });
+
+test('a direct request that makes the worker forget an attempt has a higher token than all requests before', async () => {
+  const fixture = new DirectCommandsFixture(NO_REPLY);
+  fixture.receiveHeartbeat('heartbeat', '0:5:exited:error');
+  fixture.addAllocation({ attempt: attempt(6), launchPending: true });
+  await fixture.dispatch();
+  const { helm, orders } = fixture.calls[0]?.body as { helm: number; orders: { order: string }[] };
+  assert.equal(helm, SHARD_FENCING_TOKEN + 1);
+  assert.deepEqual(
+    orders.map(({ order }) => order),
+    ['clear', 'launch'],
+  );
+});
--- a/test/workers/gang-heartbeats.test.ts
+++ b/test/workers/gang-heartbeats.test.ts
@@ -19,6 +19,7 @@
   endedJobSpec: () => null,
   isRecordUnreadable: () => false,
   onTaskDone: () => undefined,
+  onUnexpectedTask: () => undefined,
   heartbeatTimeout: millis(5000),
 };
 
--- a/test/workers/heartbeat-answers.test.ts
+++ b/test/workers/heartbeat-answers.test.ts
@@ -3,12 +3,12 @@
 import { test } from 'node:test';
 
 import type { HttpResponse } from '../../src/http/server.js';
-import { silentLog } from '../../src/logging/log.js';
 import { millis, plus, steady, type ControllerId, type ShardId } from '../../src/model/units.js';
 import type { ShardRecord } from '../../src/shards/codec.js';
 import { HeartbeatHandler } from '../../src/workers/heartbeat-handler.js';
 import { ShardUpdates } from '../../src/workers/shard-updates.js';
-import { ShardFixture, SHARD_FENCING_TOKEN } from '../support/shard-fixture.js';
+import { RecordedLines } from '../support/recording-log.js';
+import { ShardFixture, SHARD_FENCING_TOKEN, TWO_TASK_SPEC } from '../support/shard-fixture.js';
 
 const PEER = 'controller-1' as ControllerId;
 
@@ -20,9 +20,10 @@
   registrationMs = 0;
   tokenRaises = 0;
   readonly redirected: string[] = [];
+  readonly log = new RecordedLines();
   private readonly controller = {
     clock: { now: () => this.now, after: () => ({ cancel: () => undefined }) },
-    log: silentLog(),
+    log: this.log.logOf('controller-0'),
     settings: { node: 'controller-0' as ControllerId },
     shards: new Map([[this.shard.id, this.shard]]),
     storeCache: { loaded: true, get: () => undefined },
@@ -36,6 +37,7 @@
     shardRecord: (): ShardRecord | null => this.leader && ({ leader: this.leader } as ShardRecord),
     hasAnnouncedWithin: () => this.leaderSendsAnnouncements,
   };
+  readonly updates = new ShardUpdates(this.controller, { addSample: () => undefined });
   private readonly handler = new HeartbeatHandler(
     this.controller,
     {
@@ -46,7 +48,7 @@
       recordRedirectedHeartbeat: (_shard: ShardId, machine) => this.redirected.push(machine),
     },
     { registerOnHeartbeat: () => this.register() },
-    new ShardUpdates(this.controller, { addSample: () => undefined }),
+    this.updates,
   );
   private heartbeats = 100;
 
@@ -55,7 +57,17 @@
     return Promise.resolve(this.shard.id);
   }
 
-  answerTo(machine = 'm-0', token: number = SHARD_FENCING_TOKEN): Promise<HttpResponse> {
+  /** Sends a heartbeat that lists the job's first task as exited. */
+  answerToExit(attempt: number, token: number): Promise<HttpResponse> {
+    const task = { leg: `${TWO_TASK_SPEC.id}/0`, sailing: attempt, status: 'exited', cause: 'error' };
+    return this.answerTo('m-0', token, { legs: [task] });
+  }
+
+  answerTo(
+    machine = 'm-0',
+    token: number = SHARD_FENCING_TOKEN,
+    changes: object = {},
+  ): Promise<HttpResponse> {
     this.heartbeats += 1;
     const body = {
       berth: machine,
@@ -66,6 +78,7 @@
       watch: 1,
       logNo: this.heartbeats,
       helm: token,
+      ...changes,
     };
     return this.handler.handle(Buffer.from(JSON.stringify(body)));
   }
@@ -132,3 +145,57 @@
   assert.equal((await fixture.answerTo('m-0', SHARD_FENCING_TOKEN - 1)).status, 503);
   assert.equal(fixture.machine.heartbeatRefusedAt, 8001);
 });
+
+const EXITED_ATTEMPT = 5;
+const forgetUnder = (token: number): unknown => ({
+  helm: token,
+  orders: [{ order: 'clear', leg: `${TWO_TASK_SPEC.id}/0`, sailing: EXITED_ATTEMPT }],
+});
+
+test('each answer that makes a worker forget an attempt has a higher token than all messages before', async () => {
+  const fixture = new HandlerFixture();
+  const first = await fixture.answerToExit(EXITED_ATTEMPT, SHARD_FENCING_TOKEN);
+  assert.deepEqual(first.body, forgetUnder(SHARD_FENCING_TOKEN + 1));
+  const repeated = await fixture.answerToExit(EXITED_ATTEMPT, SHARD_FENCING_TOKEN);
+  assert.deepEqual(repeated.body, forgetUnder(SHARD_FENCING_TOKEN + 2));
+  const next = await fixture.answerTo('m-0', SHARD_FENCING_TOKEN + 2);
+  assert.deepEqual(next.body, { helm: SHARD_FENCING_TOKEN + 2, orders: [] });
+  assert.equal(fixture.tokenRaises, 0, 'without a write to the store');
+});
+
+test('no answer makes a worker refuse a direct request that is on its way', async () => {
+  const fixture = new HandlerFixture();
+  fixture.machine.directRequestInFlight = true;
+  const answer = await fixture.answerToExit(EXITED_ATTEMPT, SHARD_FENCING_TOKEN);
+  assert.deepEqual(answer.body, { helm: SHARD_FENCING_TOKEN, orders: [] });
+});
+
+test('a worker that lists a forgotten attempt again is reported with both tokens and its agent epoch', async () => {
+  const fixture = new HandlerFixture();
+  await fixture.answerToExit(EXITED_ATTEMPT, SHARD_FENCING_TOKEN);
+  await fixture.answerToExit(EXITED_ATTEMPT, SHARD_FENCING_TOKEN);
+  assert.equal(fixture.updates.sentCommands.counts()['reappeared'], undefined, 'the answer may be lost');
+  await fixture.answerTo('m-0', SHARD_FENCING_TOKEN + 2);
+  await fixture.answerToExit(EXITED_ATTEMPT, SHARD_FENCING_TOKEN + 2);
+  assert.deepEqual(fixture.updates.sentCommands.counts(), { forget: 3, reappeared: 1 });
+  const [line] = fixture.log.find('worker lists an attempt again that it was told to forget');
+  const fields = ['machine', 'task', 'attempt', 'forgetToken', 'fencingToken', 'agentEpoch'];
+  assert.deepEqual(Object.fromEntries(fields.map((field) => [field, line?.[field]])), {
+    machine: 'm-0',
+    task: `${TWO_TASK_SPEC.id}/0`,
+    attempt: EXITED_ATTEMPT,
+    forgetToken: SHARD_FENCING_TOKEN + 2,
+    fencingToken: SHARD_FENCING_TOKEN + 2,
+    agentEpoch: 1,
+  });
+});
+
+test('a token that was never issued and an earlier agent epoch are logged and change nothing', async () => {
+  const fixture = new HandlerFixture();
+  const allocation = fixture.addAllocation({ phase: 'running' });
+  assert.equal((await fixture.answerTo('m-0', SHARD_FENCING_TOKEN + 1)).status, 421);
+  assert.equal(fixture.log.find('worker has seen a higher fencing token').length, 1);
+  assert.equal((await fixture.answerTo('m-0', SHARD_FENCING_TOKEN, { watch: 0 })).status, 503);
+  assert.equal(fixture.log.find('heartbeat of an earlier agent epoch refused').length, 1);
+  assert.equal(fixture.shard.allocations.get(allocation.id), allocation);
+});
