--- a/test/workers/repeated-launches.test.ts
+++ b/test/workers/repeated-launches.test.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { Call } from '../../src/http/client.js';
+import type { WorkerCommand } from '../support/fake-worker.js';
 import { startCluster, type FaultInjectionCluster } from '../support/fault-injection-cluster.js';
 import type { JobOptions } from '../support/simulated-cluster.js';
 
@@ -33,16 +34,18 @@
     .length;
 }
 
-/** Delivers a copy of each call, the newest first; fails if a task of the job starts or a rule of the protocol is violated. */
+/** Delivers a copy of each call, the newest first; fails if a task of the job starts or ends, or a rule of the protocol is violated. */
 async function assertCopiesStartNothing(
   cluster: FaultInjectionCluster,
   calls: readonly AnsweredCall[],
 ): Promise<void> {
   assert.ok(calls.some(({ call }) => JSON.stringify(call.body).includes('"launch"')));
   const startsBefore = countStarts(cluster);
+  const runningBefore = cluster.countRunningTasks(JOB);
   for (const { machine, call } of [...calls].reverse()) cluster.worker(machine).receive(call);
   await cluster.step(START_TIME_MS);
   assert.equal(countStarts(cluster), startsBefore, cluster.traceLines.join('\n'));
+  assert.equal(cluster.countRunningTasks(JOB), runningBefore, cluster.traceLines.join('\n'));
   cluster.assertNoViolations('after the copies');
 }
 
@@ -89,6 +92,29 @@
   await assertCopiesStartNothing(cluster, calls);
 });
 
+test('repeated commands do not disturb a gang whose lost member was replaced under the same attempt', async () => {
+  const { cluster, calls } = await recordCalls();
+  const record = cluster.commandDelayMs;
+  cluster.commandDelayMs = (node, machine, call) => {
+    if (calls.length === 0) cluster.worker(machine).faulty = true;
+    return record(node, machine, call);
+  };
+  await cluster.submit(0, JOB, { tasks: 2, gang: true, runMs: 600_000 });
+  await cluster.until('a member has failed', () =>
+    cluster.traceLines.some((line) => line.endsWith(': error')),
+  );
+  setFaulty(cluster, false);
+  await cluster.until('the gang runs', () => cluster.countRunningTasks(JOB) === 2, 60_000);
+  await cluster.step(SETTLING_TIME_MS);
+  assert.equal(launchedAttempts(calls).size, 1, 'one attempt');
+  await assertCopiesStartNothing(cluster, calls);
+});
+
+function launchedAttempts(calls: readonly AnsweredCall[]): Set<number> {
+  const commands = calls.flatMap(({ call }) => (call.body as { orders: readonly WorkerCommand[] }).orders);
+  return new Set(commands.filter(({ order }) => order === 'launch').map(({ sailing }) => sailing));
+}
+
 test('a repeated launch does not start a cancelled task', async () => {
   const { cluster, calls } = await recordCalls();
   await cluster.submit(0, JOB, { runMs: 600_000 });
