--- a/test/soak/soak-scenario.ts
+++ b/test/soak/soak-scenario.ts
@@ -1,5 +1,6 @@
 /** Generates a soak run's deployment, load and faults from its seed; with short leases, a run takes about a minute. */
-import { FAULT_GENERATORS } from '../../src/simulation/fault-generators.js';
+import { FAULT_GENERATORS, type FaultGenerator } from '../../src/simulation/fault-generators.js';
+import { REPEAT_GENERATORS } from '../../src/simulation/repeat-generators.js';
 import { RandomStream } from '../../src/simulation/random.js';
 import {
   checkScenario,
@@ -104,21 +105,34 @@
 
 function randomFaults(random: RandomStream, deployment: ScenarioInput['deployment']): FaultInput[] {
   const count = random.integer(MIN_FAULTS, MAX_FAULTS);
-  return Array.from({ length: count }, () => {
-    const fault = random.pick(FAULT_GENERATORS)(random, deployment) as FaultInput & { for_s?: number };
-    fault.at_s = Math.round(random.between(FAULTS_START_S, FAULTS_END_S) * 100) / 100;
-    if (fault.for_s !== undefined) fault.for_s = Math.min(MAX_FAULT_DURATION_S, fault.for_s);
-    return fault;
-  });
+  return Array.from({ length: count }, () => randomFault(random.pick(FAULT_GENERATORS), random, deployment));
 }
 
+function randomFault(
+  generate: FaultGenerator,
+  random: RandomStream,
+  deployment: ScenarioInput['deployment'],
+): FaultInput {
+  const fault = generate(random, deployment) as FaultInput & { for_s?: number };
+  fault.at_s = Math.round(random.between(FAULTS_START_S, FAULTS_END_S) * 100) / 100;
+  if (fault.for_s !== undefined) fault.for_s = Math.min(MAX_FAULT_DURATION_S, fault.for_s);
+  return fault;
+}
+
+/** Repeats of all kinds, from a stream of their own: the other faults of a seed do not depend on these. */
+const randomRepeats = (random: RandomStream, deployment: ScenarioInput['deployment']): FaultInput[] =>
+  REPEAT_GENERATORS.map((generate) => randomFault(generate, random, deployment));
+
 /** Generates the scenario of a seed. */
 export function soakScenario(seed: number): Scenario {
   const random = new RandomStream(seed).fork('soak');
   const deployment = randomDeployment(seed, random.fork('deployment'));
   const loadRandom = random.fork('load');
   const load = [batchLoad(loadRandom), serviceLoad(loadRandom), GANG_LOAD];
-  const faults = randomFaults(random.fork('faults'), deployment).filter((fault) => fault.kind !== 'surge');
+  const faults = [
+    ...randomFaults(random.fork('faults'), deployment).filter((fault) => fault.kind !== 'surge'),
+    ...randomRepeats(random.fork('repeats'), deployment),
+  ];
   const input = { name: `soak-${seed}`, seed, duration_s: DURATION_S, deployment, load, faults };
   return checkScenario(input, `soak-${seed}`);
 }
