--- a/src/shards/machine.ts
+++ b/src/shards/machine.ts
@@ -84,6 +84,8 @@
   readonly images: Map<ImageId, number>;
   /** Only one direct request may be in progress at a time. Changed by the direct commands. */
   directRequestInFlight: boolean;
+  /** Whether that request carries launches. */
+  directLaunchInFlight: boolean;
   /**
    * Since when no command is known to have reached the machine; null: it is reachable. Heartbeats prove nothing: in a
    * one-way network fault they arrive although no command gets through. No task is started on the machine until it
@@ -151,6 +153,7 @@
     exitedTasks: new Map(),
     images: new Map(),
     directRequestInFlight: false,
+    directLaunchInFlight: false,
     unreachableSince: null,
     missedDirectRequests: 0,
     answeredUnreconciledAt: null,
--- a/src/workers/commands.ts
+++ b/src/workers/commands.ts
@@ -59,8 +59,8 @@
  * status does not reflect yet. Marks launches as sent in this answer.
  */
 export function commandsInReply(shard: Shard, machine: Machine, records: ResultRecords): WorkerCommand[] {
-  // A higher token in this answer would make the worker refuse the direct request that is on its way.
-  const commands = machine.directRequestInFlight ? [] : takeForgetCommands(shard, machine, records);
+  // A higher token in this answer would make the worker refuse a launch that is on its way.
+  const commands = machine.directLaunchInFlight ? [] : takeForgetCommands(shard, machine, records);
   for (const allocation of machine.allocations.values()) {
     if (commands.length >= MAX_COMMANDS) break;
     if (allocation.stop) commands.push(stopCommand(allocation));
--- a/src/workers/direct-commands.ts
+++ b/src/workers/direct-commands.ts
@@ -77,6 +77,7 @@
 
   private async send(shard: Shard, machine: Machine, { commands, launches }: CommandBatch): Promise<void> {
     machine.directRequestInFlight = true;
+    machine.directLaunchInFlight = launches.length > 0;
     this.activeCalls += 1;
     this.shardUpdates.sentCommands.record(shard, machine, commands);
     const sent = { fencingToken: shard.tokens.tokenOf(machine), agentEpoch: machine.agentEpoch };
@@ -91,6 +92,7 @@
     });
     await this.controller.exclusive(() => {
       machine.directRequestInFlight = false;
+      machine.directLaunchInFlight = false;
       this.activeCalls -= 1;
       shard.machinesWithPendingCommands.add(machine);
       this.applyOutcome(shard, machine, launches, outcome, sent);
--- a/test/workers/direct-commands.test.ts
+++ b/test/workers/direct-commands.test.ts
@@ -113,3 +113,12 @@
     ['clear', 'launch'],
   );
 });
+
+test('a machine has a direct launch in flight until the request with the launch has ended', async () => {
+  const fixture = new DirectCommandsFixture(NO_REPLY);
+  fixture.addAllocation({ launchPending: true });
+  const dispatched = fixture.dispatch();
+  assert.equal(fixture.machine.directLaunchInFlight, true);
+  await dispatched;
+  assert.equal(fixture.machine.directLaunchInFlight, false);
+});
--- a/test/workers/heartbeat-answers.test.ts
+++ b/test/workers/heartbeat-answers.test.ts
@@ -163,11 +163,19 @@
   assert.equal(fixture.tokenRaises, 0, 'without a write to the store');
 });
 
-test('no answer makes a worker refuse a direct request that is on its way', async () => {
+test('no answer makes a worker refuse a direct launch that is on its way', async () => {
   const fixture = new HandlerFixture();
   fixture.machine.directRequestInFlight = true;
+  fixture.machine.directLaunchInFlight = true;
   const answer = await fixture.answerToExit(EXITED_ATTEMPT, SHARD_FENCING_TOKEN);
   assert.deepEqual(answer.body, { helm: SHARD_FENCING_TOKEN, orders: [] });
+  fixture.machine.directLaunchInFlight = false;
+  const next = await fixture.answerToExit(EXITED_ATTEMPT, SHARD_FENCING_TOKEN);
+  assert.deepEqual(
+    next.body,
+    forgetUnder(SHARD_FENCING_TOKEN + 1),
+    'a stop on its way is in this answer too',
+  );
 });
 
 test('a worker that lists a forgotten attempt again is reported with both tokens and its agent epoch', async () => {
