--- a/test/cluster/roll-back.test.ts
+++ b/test/cluster/roll-back.test.ts
@@ -20,6 +20,8 @@
   );
   assert.ok(raised.length > 0, 'a worker has seen a token that no record names');
   const lastIssued = decodeFencingToken(cluster.store.entries.get(TOKEN_KEY)?.data);
+  for (const { fencingToken } of cluster.workers.values())
+    assert.ok(fencingToken <= lastIssued, 'the next token is above all that workers have seen');
   for (const node of NODES) {
     builds[node] = production;
     await restart(cluster, node);
--- a/test/workers/lease-expiry.test.ts
+++ b/test/workers/lease-expiry.test.ts
@@ -115,3 +115,18 @@
   silent.reviewAt(4001);
   assert.equal(silent.tokenRaises, 0, 'a silent machine would not receive the higher token');
 });
+
+test('an unacknowledged launch under a token that was raised for its machine raises the fencing token', () => {
+  const fixture = new LeaseExpiryFixture();
+  assert.ok(fixture.shard.tokens.raiseTokenOf(fixture.machine));
+  const token = fixture.shard.tokens.tokenOf(fixture.machine);
+  const unacknowledged = { fencingToken: token, agentEpoch: 1 as AgentEpoch, sentAt: steady(1000) };
+  fixture.addAllocation({ unacknowledged });
+  fixture.now = steady(3500);
+  fixture.receiveHeartbeat('heartbeat', '', { fencingToken: token });
+  fixture.reviewAt(4001);
+  assert.equal(fixture.tokenRaises, 1);
+  assert.ok(fixture.shard.tokens.raiseTokenOf(fixture.machine));
+  fixture.reviewAt(4002);
+  assert.equal(fixture.tokenRaises, 1, 'the next message rules the launch out');
+});
