--- a/review/7/run.mjs
+++ b/review/7/run.mjs
@@ -21,8 +21,11 @@
   const completed = jobs.finished.size;
   const isDone = await users.waitFor('req-000001', 'done', WAIT_MS);
   if (isDone || jobs.finished.size > completed) return [];
-  log.add('still waiting', { completed, starts: log.of('starts').length });
+  // Idle machines are returned to the cloud; one in the zone must have been there all the time.
+  const empty = [...cluster.cloud.machines.values()].filter(({ harbor }) => harbor === zone).length;
+  log.add('still waiting', { completed, empty });
+  if (empty === 0) throw new Error('no machine in the zone');
   return [
-    `${completed} of 4 tasks have completed; for 90 s no other task was started, with three empty machines`,
+    `${completed} of 4 tasks have completed; for 90 s no other task was started, with an empty machine in the zone`,
   ];
 });
--- a/review/lib-2/cloud.mjs
+++ b/review/lib-2/cloud.mjs
@@ -5,15 +5,21 @@
 import { serveJson } from './net-tools.mjs';
 import { Worker } from './worker.mjs';
 
+/** A machine that dies still appears as running for about this long. */
+const DEAD_LISTED_MS = 30_000;
+
 export class Cloud {
   machines = new Map();
+  /** Machines that are gone, and since when: the list shows them for a while. */
+  gone = [];
+  workers = [];
   answers = new Map();
   nextNumber = 1;
   outage = false;
 
   /** `capacity(hull, harbor, spot)`: how many machines there may be at once. `newWorker`: options of a worker. */
-  constructor({ hulls, capacity, bootMs, workerOptions, log }) {
-    Object.assign(this, { hulls, capacity, bootMs, workerOptions, log });
+  constructor({ hulls, capacity, bootMs, listLagS, workerOptions, log }) {
+    Object.assign(this, { hulls, capacity, bootMs, workerOptions, log, lagMs: listLagS * 1000 });
   }
 
   async open() {
@@ -22,7 +28,7 @@
   }
 
   close() {
-    for (const { worker } of this.machines.values()) worker?.stop('end of the run');
+    for (const worker of this.workers) worker.dispose();
     this.server.closeAllConnections();
     this.server.close();
   }
@@ -70,6 +76,7 @@
       spot: driftboats,
       log: this.log,
     });
+    this.workers.push(worker);
     const machine = {
       uid,
       hull: hullName,
@@ -83,6 +90,7 @@
     setTimeout(() => {
       if (!this.machines.has(uid)) return;
       machine.status = 'running';
+      machine.runningAt = performance.now();
       void worker.start();
     }, bootMs);
     return uid;
@@ -90,33 +98,48 @@
 
   remove({ berths }, reply) {
     for (const uid of berths) {
-      const worker = this.machines.get(uid)?.worker;
-      if (worker?.server) worker.stop('deleted');
-      if (this.machines.delete(uid)) this.log.add('deleted', { berth: uid });
+      const machine = this.machines.get(uid);
+      if (!machine) continue;
+      machine.worker.stop('deleted');
+      this.machines.delete(uid);
+      this.gone.push({ machine, at: performance.now() });
+      this.log.add('deleted', { berth: uid });
     }
     return reply(200, {});
   }
 
-  /** The machine fails on its own: it stays listed as failed until it is deleted. */
+  /** The machine stops on its own with all that is on it, and is silent from then on. */
   fail(uid) {
     const machine = this.machines.get(uid);
     machine.worker.stop('machine failed');
-    machine.status = 'failed';
+    machine.failedAt = performance.now();
     this.log.add('machine failed', { berth: uid });
   }
 
+  /** The state of a machine at a time in the past, as the list shows it; null before its request. */
+  stateAt({ at, runningAt, failedAt }, time) {
+    if (at > time) return null;
+    if (failedAt !== undefined && time > failedAt + DEAD_LISTED_MS) return 'failed';
+    return runningAt !== undefined && runningAt <= time ? 'running' : 'starting';
+  }
+
+  /** Lists the machines as they were a moment ago. */
   list(query, reply) {
+    const time = performance.now() - this.lagMs;
     const from = query.get('from') ?? '';
     const most = Math.min(500, Number(query.get('most') ?? 500));
-    const all = [...this.machines.values()].filter(({ uid }) => uid > from);
-    const berths = all.slice(0, most).map(({ uid, hull, harbor, driftboats, status, worker, at }) => ({
-      uid,
-      endpoint: worker.endpoint ?? '',
-      hull,
-      harbor,
-      driftboats,
-      status,
-      ageS: (performance.now() - at) / 1000,
+    const justGone = this.gone.filter(({ at }) => at > time).map(({ machine }) => machine);
+    const all = [...this.machines.values(), ...justGone]
+      .filter((machine) => machine.uid > from && this.stateAt(machine, time) !== null)
+      .sort((first, second) => (first.uid < second.uid ? -1 : 1));
+    const berths = all.slice(0, most).map((machine) => ({
+      uid: machine.uid,
+      endpoint: machine.worker.endpoint ?? '',
+      hull: machine.hull,
+      harbor: machine.harbor,
+      driftboats: machine.driftboats,
+      status: this.stateAt(machine, time),
+      ageS: (time - machine.at) / 1000,
     }));
     return reply(200, { berths, hasNext: all.length > most });
   }
--- a/review/lib-2/cluster.mjs
+++ b/review/lib-2/cluster.mjs
@@ -40,7 +40,14 @@
     }
     const workerOptions = { terms: site.workers, nodes: this.nodes, jobs: this.jobs };
     const { hulls, capacity, bootMs } = site;
-    this.cloud = await new Cloud({ hulls, capacity, bootMs, workerOptions, log }).open();
+    this.cloud = await new Cloud({
+      hulls,
+      capacity,
+      bootMs,
+      listLagS: site.cloud.listLagS,
+      workerOptions,
+      log,
+    }).open();
     this.users = new Users(this.jobs, log, this.nodes);
   }
 
@@ -104,7 +111,7 @@
       return true;
     };
     await this.waitUntil(isUp, timeoutMs, 'controllers');
-    const workers = [...this.cloud.machines.values()].map(({ worker }) => worker);
+    const workers = [...this.cloud.machines.values()].filter(({ late }) => !late).map(({ worker }) => worker);
     await this.waitUntil(() => workers.every(({ helm }) => helm > 0), timeoutMs, 'machines');
   }
 
--- a/review/lib-2/worker.mjs
+++ b/review/lib-2/worker.mjs
@@ -41,15 +41,20 @@
     return this;
   }
 
-  /** The machine stops with all that is on it. */
-  stop(why = 'gone') {
+  /** The machine stops with all that is on it. Connections to it hang from then on, without any error. */
+  stop(why) {
     if (this.gone) return;
     this.gone = true;
     clearInterval(this.timer);
     for (const task of this.legs.values()) this.leave(task, why);
-    this.server.closeAllConnections();
-    this.server.close();
-    for (const agent of this.agents) agent.destroy();
+  }
+
+  /** Closes its sockets at the end of the run. */
+  dispose() {
+    this.stop('end of the run');
+    this.server?.closeAllConnections();
+    this.server?.close();
+    for (const agent of this.agents ?? []) agent.destroy();
   }
 
   report() {
