Simulator draws spread and same_zone for arrays

Change: three of ten schedules each have arrays that are spread and arrays that are in one zone, from a random stream of their own, so that all other draws of a seed stay.

--- a/src/simulation/scenario-generator.ts
+++ b/src/simulation/scenario-generator.ts
@@ -8,6 +8,8 @@
 const TEAMS = ['atlas', 'tides'];
 /** Share of schedules with gangs. */
 const GANG_SHARE = 0.8;
+/** Share of schedules whose arrays must be spread over zones, and of those whose arrays must be in one zone. */
+const ARRAY_CONSTRAINT_SHARE = 0.3;
 /** Share of schedules with repeats, for each kind of request. */
 const REPEAT_SHARE = 0.3;
 /** Faults begin between these times; the rest of the run shows whether the cluster recovers. */
@@ -61,7 +63,10 @@
 
 /** Draws the service load even if it is not used, and always in this order, so that a seed keeps its schedule. */
 function randomLoad(random: RandomStream, deployment: Deployment): ScenarioInput['load'] {
-  const batch = randomBatchLoad(random, deployment);
+  const batch = {
+    ...randomBatchLoad(random, deployment),
+    ...randomArrayConstraints(random.fork('array constraints')),
+  };
   const service = randomServiceLoad(random);
   const loads = random.chance(0.7) ? [batch, service] : [batch];
   const gangs = random.fork('gangs');
@@ -95,6 +100,14 @@
   };
 }
 
+/** Draws from a stream of its own, so that the other loads of a seed do not depend on these. */
+function randomArrayConstraints(random: RandomStream): Pick<LoadInput, 'spread' | 'same_zone'> {
+  return {
+    spread: random.chance(ARRAY_CONSTRAINT_SHARE),
+    same_zone: random.chance(ARRAY_CONSTRAINT_SHARE),
+  };
+}
+
 function randomServiceLoad(random: RandomStream): LoadInput {
   return {
     class: 'service',
