Places of finished tasks in a zone are given to waiting tasks of the job

A job with harbor could not change a zone at all, and tasks in no zone waited for announced capacity, so that no machine would have been rented for them. The same count kept spread arrays from the places of finished tasks when a zone was lost, and an array in one zone in a lost zone as soon as one task had finished there.

Change: the leader that records a finished task assigns it to no zone in the same write, if its shard is reconciled and no machine holds the task, on condition of the leadership. The leader of waiting tasks gives them the free places in one write on condition of the record. Tasks whose zone an older record changes after an acquisition are unaccounted. The stored format is the same.

Why it works: only the leader of a finished task's shard knows that no machine runs it and no command can start it again; the record, which both writes compare, is the only place where the count is taken.

--- a/src/jobs/job-record-cache.ts
+++ b/src/jobs/job-record-cache.ts
@@ -5,7 +5,7 @@
 import type { JobId } from '../model/units.js';
 import { decodeRecord } from './codec.js';
 import type { JobRecord } from './record.js';
-import type { JobSpec } from './spec.js';
+import { releasesZones, type JobSpec } from './spec.js';
 
 /** Minimum number of ended jobs whose specifications are kept. */
 const MIN_RECENTLY_ENDED = 500;
@@ -23,6 +23,8 @@
 export class JobRecordCache {
   private readonly active = new Map<JobId, JobRecord>();
   private readonly ended = new Map<JobId, JobSpec>();
+  /** Active jobs whose finished tasks make room in a zone for other tasks of the job. */
+  private readonly releasingZones = new Set<JobId>();
   /** Jobs whose newest record cannot be read; `get` returns an older record of the job, or `undefined`. */
   private readonly unreadable = new Set<JobId>();
 
@@ -44,6 +46,11 @@
     return this.active.values();
   }
 
+  /** Returns the active jobs whose finished tasks make room in a zone for other tasks of the job. */
+  get jobsReleasingZones(): Iterable<JobId> {
+    return this.releasingZones;
+  }
+
   /** Specifications of ended jobs whose tasks may still be on machines. */
   get recentlyEnded(): ReadonlyMap<JobId, JobSpec> {
     return this.ended;
@@ -62,12 +69,14 @@
     }
     this.unreadable.delete(id);
     this.active.set(id, record);
+    if (releasesZones(record.spec)) this.releasingZones.add(id);
     return { kind: 'active', record };
   }
 
   private end(id: JobId): void {
     const last = this.active.get(id);
     this.active.delete(id);
+    this.releasingZones.delete(id);
     this.unreadable.delete(id);
     if (last) this.ended.set(id, last.spec);
     // All active jobs may end at about the same time, and their tasks remain on machines for a while.
--- a/src/jobs/progress.ts
+++ b/src/jobs/progress.ts
@@ -7,7 +7,7 @@
 import { RangeSet } from '../model/ranges.js';
 import type { Settings } from '../settings/settings.js';
 import { RequestPriority } from '../store/rate-limiter.js';
-import type { Change } from '../store/wire.js';
+import type { Change, Condition } from '../store/wire.js';
 import type { Clock, JobId, ShardId, SteadyMs } from '../model/units.js';
 import type { JobRecordCache } from './job-record-cache.js';
 import type { ActiveJobs, StoreAccess } from './dependencies.js';
@@ -15,8 +15,12 @@
 import { encodeRecord, activeJobKey } from './codec.js';
 import { storedSizeBytes, withFinishedTasks } from './stored-size.js';
 import { isComplete, type JobRecord } from './record.js';
+import { awaitsPlace, releasableTasks, withReleasedZones } from './zone-release.js';
 
-/** Minimum interval between two writes of a job's progress; a shard's last task of the job is written at once. */
+/**
+ * Minimum interval between two writes of a job's progress. A shard's last task of the job is written at once, and the
+ * tasks of a job of which others wait for the place of a finished one are written as the write rate allows.
+ */
 const PROGRESS_INTERVAL_MS = 1500;
 /** Maximum fraction of this controller's write rate that progress uses. */
 const PROGRESS_WRITE_FRACTION = 0.3;
@@ -32,12 +36,14 @@
   readonly settings: Pick<Settings, 'maxValueBytes'>;
   /** The shards that this controller leads. */
   readonly shards: ReadonlyMap<ShardId, Shard>;
-  readonly activeJobs: ActiveJobs & Pick<JobRecordCache, 'isOutdated'>;
+  readonly activeJobs: ActiveJobs & Pick<JobRecordCache, 'isOutdated' | 'jobsReleasingZones'>;
+  /** Returns the condition that this controller still leads the shard. */
+  leaderCondition(shard: Shard): Condition;
   /** Requests a scheduling cycle soon. */
   readonly requestCycle: () => void;
 }
 
-/** The finished tasks of one job that have to be written. */
+/** The finished tasks of one job that have to be written; none if only zones of finished tasks are to be released. */
 interface PendingWrite {
   readonly id: JobId;
   readonly record: JobRecord;
@@ -84,26 +90,40 @@
         const finished = pendingWrites.get(job.id)?.finished ?? RangeSet.empty();
         finished.addAll(job.finished);
         const isLastLocalWrite = this.isLastLocalWrite(job, finished, record);
-        if (!isLastLocalWrite && this.wasJustWritten(job.id, now)) continue;
+        if (!isLastLocalWrite && this.wasJustWritten(record, now)) continue;
         pendingWrites.set(job.id, { id: job.id, record, finished, isLastLocalWrite });
       }
     }
+    this.collectReleases(pendingWrites, now);
     return pendingWrites;
   }
 
-  private wasJustWritten(id: JobId, now: SteadyMs): boolean {
-    const writtenAt = this.writeTimes.get(id);
-    return writtenAt !== undefined && now - writtenAt < this.writeIntervalMs();
+  /**
+   * Adds jobs with finished tasks whose zones were not released by the write that recorded the tasks: the shard was not
+   * reconciled then, a machine still held the task, or an earlier version wrote the record.
+   */
+  private collectReleases(pendingWrites: Map<JobId, PendingWrite>, now: SteadyMs): void {
+    const { activeJobs, shards } = this.context;
+    for (const id of activeJobs.jobsReleasingZones) {
+      const record = activeJobs.get(id);
+      if (!record || pendingWrites.has(id) || this.writesInProgress.has(id)) continue;
+      if (activeJobs.isOutdated(id) || this.wasJustWritten(record, now)) continue;
+      if ([...shards.values()].every((shard) => releasableTasks(shard, record).isEmpty)) continue;
+      pendingWrites.set(id, { id, record, finished: RangeSet.empty(), isLastLocalWrite: false });
+    }
+  }
+
+  private wasJustWritten(record: JobRecord, now: SteadyMs): boolean {
+    const writtenAt = this.writeTimes.get(record.spec.id);
+    return writtenAt !== undefined && now - writtenAt < this.writeIntervalMs(record);
   }
 
-  /** Returns the minimum interval between two writes of one job: all jobs share the write rate for progress. */
-  private writeIntervalMs(): number {
+  /** Returns the minimum interval between two writes of a job: all jobs share the write rate for progress. */
+  private writeIntervalMs(record: JobRecord): number {
     let jobs = 0;
     for (const shard of this.context.shards.values()) jobs += shard.jobsWithUnrecordedResults.size;
-    return Math.max(
-      PROGRESS_INTERVAL_MS,
-      (jobs * 1000) / (PROGRESS_WRITE_FRACTION * this.context.store.writeRate),
-    );
+    const shareOfRate = (Math.max(1, jobs) * 1000) / (PROGRESS_WRITE_FRACTION * this.context.store.writeRate);
+    return awaitsPlace(record) ? shareOfRate : Math.max(PROGRESS_INTERVAL_MS, shareOfRate);
   }
 
   /** Returns whether no task of the job remains here: this write, or a later one by another controller, may end it. */
@@ -125,18 +145,25 @@
     const { store, storeCache, settings, clock, log } = this.context;
     const key = activeJobKey(id);
     const version = storeCache.version(key);
-    const record = withFinishedTasks(current, finished, settings.maxValueBytes);
-    const complete = isComplete(record);
+    const finishedRecord = finished.isEmpty
+      ? current
+      : withFinishedTasks(current, finished, settings.maxValueBytes);
+    const complete = isComplete(finishedRecord);
+    const { record, conditions } = complete
+      ? { record: finishedRecord, conditions: [] }
+      : this.releaseZones(finishedRecord);
     const value = encodeRecord(record);
     // The record was stored under a larger size limit: it is not written until its ranges of finished tasks have
     // merged.
-    if (!complete && storedSizeBytes(record) > settings.maxValueBytes) {
+    const isTooLarge = !complete && storedSizeBytes(record) > settings.maxValueBytes;
+    const isUnchanged = record === current;
+    if (isTooLarge || isUnchanged) {
       this.writeTimes.set(id, clock.now());
       return;
     }
     const changes: Change[] = complete ? endJobChanges(id, 'done') : [{ op: 'put', key, value }];
     const priority = isLastLocalWrite ? RequestPriority.finalState : RequestPriority.progress;
-    const result = await store.compareAndSwap([{ key, version }], changes, priority);
+    const result = await store.compareAndSwap([{ key, version }, ...conditions], changes, priority);
     this.rememberWrite(id, clock.now());
     if (result.kind !== 'done') return;
     if (complete) {
@@ -147,6 +174,24 @@
     this.context.requestCycle();
   }
 
+  /**
+   * Releases the zones of finished tasks. The write is conditional on the leadership of their shards: a later leader
+   * may have started a task again whose result it does not know.
+   */
+  private releaseZones(record: JobRecord): { record: JobRecord; conditions: Condition[] } {
+    const { settings, shards } = this.context;
+    let released = record;
+    const conditions: Condition[] = [];
+    for (const shard of shards.values()) {
+      const before = released;
+      const tasks = releasableTasks(shard, before);
+      if (tasks.isEmpty) continue;
+      released = withReleasedZones(before, shard.id, tasks, settings.maxValueBytes);
+      if (released !== before) conditions.push(this.context.leaderCondition(shard));
+    }
+    return { record: released, conditions };
+  }
+
   private rememberWrite(id: JobId, now: SteadyMs): void {
     this.writeTimes.set(id, now);
     if (this.writeTimes.size > MAX_WRITE_TIMES) this.writeTimes.clear();
--- a/src/jobs/record.ts
+++ b/src/jobs/record.ts
@@ -1,6 +1,6 @@
 /** The record of an active job, with the assignment of its tasks to shards. `codec.ts` encodes the record. */
 import type { ShardId, Revision, ClusterMs, ZoneId } from '../model/units.js';
-import { RangeSet } from '../model/ranges.js';
+import { RangeSet, type Range } from '../model/ranges.js';
 import type { JobSpec } from './spec.js';
 
 /**
@@ -13,9 +13,15 @@
   readonly zone: ZoneId | null;
 }
 
-/** A zone without machines, in which tasks of a spread job wait while no real zone may take them. */
+/**
+ * A zone without machines. Tasks of a spread job wait in it while no real zone may take them, and a finished task is
+ * assigned to it when it no longer counts for a zone.
+ */
 export const NO_ZONE = '' as ZoneId;
 
+/** Whether the zone of an assignment is a zone of the deployment, in which the tasks count for the job's constraints. */
+export const isRealZone = (zone: ZoneId | null): zone is ZoneId => zone !== null && zone !== NO_ZONE;
+
 /** The stored state of an active job. */
 export interface JobRecord {
   readonly spec: JobSpec;
@@ -38,6 +44,9 @@
 export const isComplete = (record: JobRecord): boolean =>
   record.spec.kind !== 'service' && record.done.size === record.spec.tasks;
 
+/** Behind all ranges of tasks. */
+const NO_RANGE: Range = [Infinity, Infinity];
+
 /** Assigns the tasks in `moved` to another shard and zone; adjacent ranges with the same assignment are merged. */
 export function reassign(
   record: JobRecord,
@@ -52,15 +61,22 @@
       reassigned[reassigned.length - 1] = { ...last, to };
     } else reassigned.push({ from, to, shard: shardId, zone });
   };
+  const ranges = moved.ranges();
+  let next = 0;
   for (const assignment of record.assignments) {
     let position = assignment.from;
-    for (const [from, to] of moved.ranges()) {
-      const start = Math.max(from, assignment.from);
+    for (;;) {
+      const [from, to] = ranges[next] ?? NO_RANGE;
+      const start = Math.max(from, position);
       const end = Math.min(to, assignment.to);
-      if (start >= end) continue;
-      if (position < start) push(position, start, assignment.shard, assignment.zone);
-      push(start, end, shard, zoneFor(assignment.zone));
-      position = end;
+      if (start < end) {
+        if (position < start) push(position, start, assignment.shard, assignment.zone);
+        push(start, end, shard, zoneFor(assignment.zone));
+        position = end;
+      }
+      // A range that goes on behind the assignment is needed again for the next one.
+      if (to > assignment.to) break;
+      next += 1;
     }
     if (position < assignment.to) push(position, assignment.to, assignment.shard, assignment.zone);
   }
--- a/src/jobs/spec.ts
+++ b/src/jobs/spec.ts
@@ -49,3 +49,10 @@
   /** Fields stored by a later version, which are kept when the record is written again. */
   readonly unknownFields?: Readonly<Record<string, unknown>>;
 }
+
+/**
+ * Whether finished tasks of the job make room in a zone for others, or let them leave it: a gang ends as a whole, a
+ * service does not end, and a job that may use one given zone completely stays there.
+ */
+export const releasesZones = ({ kind, spread, oneZone, zone }: JobSpec): boolean =>
+  kind === 'array' && (spread || (oneZone && zone === null));
--- a/src/jobs/stored-size.ts
+++ b/src/jobs/stored-size.ts
@@ -1,5 +1,5 @@
 /** Keeps job records within the store's size limit for a value. */
-import type { RangeSet } from '../model/ranges.js';
+import type { Range, RangeSet } from '../model/ranges.js';
 import { encodeRecord } from './codec.js';
 import type { JobRecord } from './record.js';
 
@@ -7,6 +7,10 @@
 export const storedSizeBytes = (record: JobRecord): number =>
   Buffer.byteLength(JSON.stringify(encodeRecord(record)));
 
+/** Returns the ranges of a set, the largest first. */
+export const largestFirst = (tasks: RangeSet): Range[] =>
+  tasks.ranges().sort(([startA, endA], [startB, endB]) => endB - startB - (endA - startA));
+
 /**
  * Returns the record with more tasks marked as done, within `maxBytes`. If the ranges are too scattered to fit, the
  * largest are added first; the others are written later, and until then their results stay on the workers.
@@ -17,10 +21,7 @@
   const fullRecord = { ...record, done: allDone };
   if (storedSizeBytes(fullRecord) <= maxBytes) return fullRecord;
   const done = record.done.clone();
-  const largestFirst = [...finished.ranges()].sort(
-    ([startA, endA], [startB, endB]) => endB - startB - (endA - startA),
-  );
-  for (const [start, end] of largestFirst) {
+  for (const [start, end] of largestFirst(finished)) {
     const candidate = done.clone();
     candidate.addRange(start, end);
     if (storedSizeBytes({ ...record, done: candidate }) <= maxBytes) done.addRange(start, end);
--- a/src/overflow/assignment.ts
+++ b/src/overflow/assignment.ts
@@ -2,32 +2,13 @@
  * Assigns the tasks of a new job to shards, and the tasks of a constrained job to zones. The only side effect is that
  * assigned capacity is subtracted from the announced free capacity.
  */
-import type { InstanceType } from '../cloud/wire.js';
 import { NO_ZONE, type Assignment } from '../jobs/record.js';
 import { Priority, type JobSpec } from '../jobs/spec.js';
-import { covers, fits, scale, fittingRatio, TOLERANCE, ZERO, type Resources } from '../model/resources.js';
-import type { ImageId, ShardId, SteadyMs, ZoneId } from '../model/units.js';
-import { mayRunOn } from '../model/constraints.js';
-import type { Random } from '../model/random.js';
-import type { FreeCapacity } from '../peers/free-capacity.js';
+import { covers, scale, fittingRatio, TOLERANCE, ZERO, type Resources } from '../model/resources.js';
+import type { ShardId, ZoneId } from '../model/units.js';
+import { eligibleZones, shardSitedIn, type AssignmentContext } from './assignment-context.js';
 import { taskCapacity, reserveCapacity, rankPeers } from './peer-ranking.js';
 
-/** Inputs of an assignment. */
-export interface AssignmentContext {
-  readonly now: SteadyMs;
-  /** The shard of the controller that accepted the job. */
-  readonly homeShard: ShardId;
-  readonly homeZone: ZoneId;
-  readonly shards: readonly { shard: ShardId; zone: ZoneId }[];
-  readonly zones: readonly ZoneId[];
-  readonly types: readonly InstanceType[];
-  /** Announced free capacity of every shard; an assignment subtracts the capacity that it uses. */
-  readonly freeCapacity: ReadonlyMap<ShardId, FreeCapacity>;
-  /** By shard and image: the capacity that critical tasks can use at once on machines that hold the image. */
-  readonly imageCapacity: ReadonlyMap<ShardId, ReadonlyMap<ImageId, Resources>>;
-  readonly random: Random;
-}
-
 function capacityInZone(context: AssignmentContext, spec: JobSpec, zone: ZoneId): number {
   let tasks = 0;
   for (const peer of context.freeCapacity.values())
@@ -101,8 +82,7 @@
     return context.homeShard;
   const bestPeer = rankPeers(context.freeCapacity.values(), zone, spec, zone, context.now, context.random)[0];
   if (bestPeer) return bestPeer.freeCapacity.shard;
-  if (context.homeZone === zone) return context.homeShard;
-  return context.shards.find((candidate) => candidate.zone === zone)?.shard ?? context.homeShard;
+  return shardSitedIn(zone, context);
 }
 
 /** Assigns the tasks from `start` to before `end` to a zone, and reserves capacity on the chosen shard. */
@@ -124,7 +104,10 @@
     (first, second) => capacityInZone(context, spec, second) - capacityInZone(context, spec, first),
   );
 
-/** Assigns at most half of the tasks, rounded up, to a zone. Each task's zone is fixed, so that any subset may run. */
+/**
+ * Assigns at most half of the tasks, rounded up, to a zone, so that any subset of them may run. Tasks that no zone may
+ * take yet wait for others to finish.
+ */
 function assignAcrossZones(
   context: AssignmentContext,
   spec: JobSpec,
@@ -199,24 +182,10 @@
   };
 }
 
-/** Returns the zones in which some instance type can run a task, or all zones if no such zone is known. */
-export function eligibleZones(
-  spec: JobSpec,
-  zones: readonly ZoneId[],
-  types: readonly InstanceType[],
-): readonly ZoneId[] {
-  const eligible = zones.filter((zone) =>
-    types.some(
-      (type) => type.zones.includes(zone) && fits(spec, type) && mayRunOn(spec, type.name, zone, false, null),
-    ),
-  );
-  return eligible.length > 0 ? eligible : zones;
-}
-
 /** Assigns each task of a new job to a shard, and to a zone if the job is constrained. Covers all tasks in order. */
 export function assignJob(spec: JobSpec, context: AssignmentContext): Assignment[] {
   const zones = eligibleZones(spec, spec.zone === null ? context.zones : [spec.zone], context.types);
-  // A job that must be both in one zone and spread never runs completely: half of it in one zone satisfies both.
+  // Half of a job that must be both in one zone and spread may run at a time; the other half of an array follows.
   if (spec.spread && spec.tasks > 1) {
     const assignments = assignAcrossZones(
       context,
--- a/src/overflow/task-transfer.ts
+++ b/src/overflow/task-transfer.ts
@@ -101,7 +101,7 @@
   return { job, tasks, receivingShard, record };
 }
 
-/** Chooses another zone for tasks that have waited for capacity in `fromZone` while no shard has any there. */
+/** Chooses another zone for tasks that wait in `fromZone` while no shard has capacity for them there. */
 function reassignZone(
   core: Core,
   shard: Shard,
@@ -112,6 +112,7 @@
   const reassignment = chooseZoneReassignment(shard.id, job, fromZone, {
     now,
     homeZone: zoneForShard(core, shard.id),
+    shards: core.settings.shards,
     zones: core.settings.zones,
     types: [...core.types.values()],
     freeCapacity: core.freeCapacity,
--- a/src/overflow/zone-reassignment.ts
+++ b/src/overflow/zone-reassignment.ts
@@ -1,14 +1,15 @@
 /**
- * Decides when waiting tasks of a constrained job move to another zone because their zone has had no capacity for some
- * time, for example after the loss of a zone. Pure. Only tasks that are certainly on no machine move, with one
- * compare-and-swap of the job's record, so that the running tasks satisfy the constraints of the job at any time.
+ * Decides when waiting tasks of a constrained job move to another zone: because their zone has had no capacity for some
+ * time, for example after the loss of a zone, or out of `NO_ZONE` into the places of finished tasks. Pure. Only tasks
+ * that are certainly on no machine move, with one compare-and-swap of the job's record, so that the running tasks
+ * satisfy the constraints of the job at any time.
  */
 import type { JobSpec } from '../jobs/spec.js';
-import { NO_ZONE, type Assignment, type JobRecord } from '../jobs/record.js';
+import { isRealZone, NO_ZONE, type Assignment, type JobRecord } from '../jobs/record.js';
 import { waitingRanges, type ShardJob } from '../shards/model.js';
 import { RangeSet } from '../model/ranges.js';
 import type { ShardId, SteadyMs, ZoneId } from '../model/units.js';
-import { eligibleZones, type AssignmentContext } from './assignment.js';
+import { eligibleZones, shardSitedIn, type AssignmentContext } from './assignment-context.js';
 import type { FreeCapacity } from '../peers/free-capacity.js';
 import { rankPeers } from './peer-ranking.js';
 
@@ -18,7 +19,7 @@
 /** Inputs of the decision in addition to the job. */
 export type ZoneReassignmentContext = Pick<
   AssignmentContext,
-  'now' | 'homeZone' | 'zones' | 'types' | 'freeCapacity' | 'random'
+  'now' | 'homeZone' | 'shards' | 'zones' | 'types' | 'freeCapacity' | 'random'
 >;
 
 /** The decision to assign tasks to another zone and shard. */
@@ -26,13 +27,16 @@
   readonly tasks: RangeSet;
   readonly shard: ShardId;
   readonly zone: ZoneId;
-  /** The announced capacity that the tasks will use. Null if they only join the other tasks of their job. */
+  /**
+   * The announced capacity that the tasks will use. Null if they only join the other tasks of their job, or wait for
+   * capacity in the zone.
+   */
   readonly freeCapacity: FreeCapacity | null;
 }
 
 /**
- * Counts the tasks that the record assigns to the zone. Includes finished tasks, the strictest reading of the
- * constraint.
+ * Counts the tasks that the record assigns to the zone. Includes finished tasks until their zone is released, since a
+ * machine may still hold them (`jobs/zone-release.ts`).
  */
 function tasksInZone(record: JobRecord, zone: ZoneId): number {
   let count = 0;
@@ -45,52 +49,63 @@
 const runnableAssignments = ({ assignments }: JobRecord): Assignment[] =>
   assignments.filter((assignment) => assignment.zone !== NO_ZONE);
 
+function assignedTasks(assignments: readonly Assignment[]): RangeSet {
+  return RangeSet.of(assignments.map(({ from, to }) => [from, to] as const));
+}
+
 /**
  * Returns how many tasks of a job that must be in one zone may leave `fromZone`: all tasks that may run, which is half
- * of the tasks if the job must also be spread. They move together or not at all, so none of them may be or have been on
- * a machine.
+ * of the tasks if the job must also be spread. They move together or not at all, so none of them may be on a machine;
+ * finished tasks count until their zone is released.
  */
 function movableGroupSize({ record, waiting }: ShardJob, fromZone: ZoneId): number {
   const group = runnableAssignments(record);
-  if (!record.done.isEmpty || group.some((assignment) => assignment.zone !== fromZone)) return 0;
-  const tasks = RangeSet.of(group.map(({ from, to }) => [from, to] as const));
+  if (group.some((assignment) => assignment.zone !== fromZone)) return 0;
+  const tasks = assignedTasks(group);
   for (const index of tasks) if (!waiting.has(index)) return 0;
   return tasks.size;
 }
 
+/** Whether the record assigns no task to a zone other than this one. */
+const isOnlyZone = ({ assignments }: JobRecord, zone: ZoneId): boolean =>
+  assignments.every((assignment) => !isRealZone(assignment.zone) || assignment.zone === zone);
+
 /** Returns how many of the tasks that wait for `fromZone` may move to `zone`. */
 function remainingZoneAllowance(job: ShardJob, fromZone: ZoneId, zone: ZoneId): number {
   const { spec, record } = job;
-  if (spec.oneZone) return movableGroupSize(job, fromZone);
+  if (spec.oneZone && fromZone !== NO_ZONE) return movableGroupSize(job, fromZone);
+  if (spec.oneZone && !isOnlyZone(record, zone)) return 0;
   return Math.ceil(spec.tasks / 2) - tasksInZone(record, zone);
 }
 
 /**
  * Returns the shard that collects the tasks of a job that must be in one zone. These tasks can only move together, and
  * only the leader of a task's shard knows that the task is on no machine. While the tasks are split among shards, the
- * waiting ones are collected on the shard with the lowest number. Returns null if a task has ended: the others must
- * stay in its zone.
+ * waiting ones are collected on the shard with the lowest number. Returns null if the zone of a finished task is not
+ * released: the others must stay in it.
  */
 function collectingShard({ record }: ShardJob): ShardId | null {
-  if (!record.done.isEmpty) return null;
-  return Math.min(...runnableAssignments(record).map((assignment) => assignment.shard)) as ShardId;
+  const group = runnableAssignments(record);
+  if (!assignedTasks(group).intersect(record.done).isEmpty) return null;
+  return Math.min(...group.map((assignment) => assignment.shard)) as ShardId;
 }
 
 /**
- * Whether a job's tasks in `fromZone` may change their zone. If a job must be both in one zone and spread, its tasks in
- * no zone stay there. A gang that is spread stays where it was assigned: otherwise its members could be moved to
- * different shards.
+ * Whether a job's tasks in `fromZone` may change their zone: out of `NO_ZONE` into any zone that the job allows. A gang
+ * that is spread stays where it was assigned: otherwise its members could be moved to different shards.
  */
 const mayChangeZone = (spec: JobSpec, fromZone: ZoneId): boolean =>
-  spec.zone === null &&
-  (spec.oneZone ? fromZone !== NO_ZONE : spec.spread) &&
+  (spec.zone === null || fromZone === NO_ZONE) &&
+  (spec.oneZone || spec.spread) &&
   !(spec.kind === 'gang' && spec.spread);
 
+/** Whether the tasks have waited long enough for capacity in their zone. In `NO_ZONE` they wait for a place only. */
+const hasWaitedInZone = ({ waitingSince }: ShardJob, fromZone: ZoneId, now: SteadyMs): boolean =>
+  fromZone === NO_ZONE || (waitingSince !== null && now - waitingSince >= ZONE_REASSIGNMENT_DELAY_MS);
+
 /** Whether the job has waited long enough and it is known for each of its tasks whether the task is on a machine. */
 function isReassignmentDue(job: ShardJob, fromZone: ZoneId, now: SteadyMs): boolean {
-  const { spec, waitingSince } = job;
-  if (!mayChangeZone(spec, fromZone) || waitingSince === null) return false;
-  if (now - waitingSince < ZONE_REASSIGNMENT_DELAY_MS) return false;
+  if (!mayChangeZone(job.spec, fromZone) || !hasWaitedInZone(job, fromZone, now)) return false;
   return [job.transferring, job.unaccounted, job.unconfirmed].every((tasks) => tasks.isEmpty);
 }
 
@@ -111,15 +126,41 @@
 ): ZoneReassignment | null {
   if (!isReassignmentDue(job, fromZone, context.now)) return null;
   const waiting = tasksWaitingFor(fromZone, job);
-  const collector = job.spec.oneZone ? collectingShard(job) : null;
+  const collector = job.spec.oneZone && fromZone !== NO_ZONE ? collectingShard(job) : null;
   if (collector !== null && collector !== shard)
     return { tasks: waiting, shard: collector, zone: fromZone, freeCapacity: null };
   const bestOption = findBestOtherZone(job, fromZone, waiting.size, context);
-  if (!bestOption) return null;
+  if (!bestOption)
+    return fromZone === NO_ZONE ? chooseZoneWithoutCapacity(shard, job, waiting, context) : null;
   const { zone, freeCapacity, count } = bestOption;
   return { tasks: waiting.first(count), shard: freeCapacity.shard, zone, freeCapacity };
 }
 
+/**
+ * Chooses a zone that may take some of the waiting tasks although no capacity is announced there, so that they are
+ * counted as demand for it.
+ */
+function chooseZoneWithoutCapacity(
+  shard: ShardId,
+  job: ShardJob,
+  waiting: RangeSet,
+  context: ZoneReassignmentContext,
+): ZoneReassignment | null {
+  for (const zone of allowedZones(job.spec, context)) {
+    const allowed = remainingZoneAllowance(job, NO_ZONE, zone);
+    if (allowed <= 0) continue;
+    const receivingShard = shardSitedIn(zone, { ...context, homeShard: shard });
+    return { tasks: waiting.first(allowed), shard: receivingShard, zone, freeCapacity: null };
+  }
+  return null;
+}
+
+/** Returns the zones in which some instance type can run a task of the job. */
+const allowedZones = (
+  spec: JobSpec,
+  { zones, types }: Pick<ZoneReassignmentContext, 'zones' | 'types'>,
+): readonly ZoneId[] => eligibleZones(spec, spec.zone === null ? zones : [spec.zone], types);
+
 /** A zone that can take some of the waiting tasks. */
 interface ZoneOption {
   readonly zone: ZoneId;
@@ -133,16 +174,19 @@
   job: ShardJob,
   fromZone: ZoneId,
   waitingTasks: number,
-  { zones, types, freeCapacity, homeZone, now, random }: ZoneReassignmentContext,
+  context: ZoneReassignmentContext,
 ): ZoneOption | null {
   const { spec } = job;
+  const { freeCapacity, homeZone, now, random } = context;
   let bestOption: ZoneOption | null = null;
-  for (const zone of eligibleZones(spec, zones, types)) {
+  for (const zone of allowedZones(spec, context)) {
     if (zone === fromZone) continue;
+    const allowed = remainingZoneAllowance(job, fromZone, zone);
+    if (allowed <= 0) continue;
     const bestPeer = rankPeers(freeCapacity.values(), homeZone, spec, zone, now, random)[0];
     if (!bestPeer) continue;
-    const allowed = remainingZoneAllowance(job, fromZone, zone);
-    const count = Math.min(waitingTasks, allowed, spec.oneZone ? allowed : bestPeer.capacity);
+    const movesAsGroup = spec.oneZone && fromZone !== NO_ZONE;
+    const count = Math.min(waitingTasks, allowed, movesAsGroup ? allowed : bestPeer.capacity);
     if (count > (bestOption?.count ?? 0)) bestOption = { zone, freeCapacity: bestPeer.freeCapacity, count };
   }
   return bestOption;
--- a/src/shards/sync.ts
+++ b/src/shards/sync.ts
@@ -2,8 +2,8 @@
  * Updates a shard's copies of jobs from their records in the store. The record holds which tasks are assigned to the
  * shard and which are done; the copy adds what the leader knows of unfinished tasks.
  */
-import { assignedTo, type JobRecord } from '../jobs/record.js';
-import type { RangeSet } from '../model/ranges.js';
+import { assignedTo, requiredZoneOf, type JobRecord } from '../jobs/record.js';
+import { RangeSet } from '../model/ranges.js';
 import { millis } from '../model/units.js';
 import type { JobId, Millis, Revision, SteadyMs } from '../model/units.js';
 import { newShardJob, withdrawFromQueue, type ShardJob } from './job.js';
@@ -67,6 +67,7 @@
   if (version <= job.version) return;
   const added = unfinished.clone();
   added.removeAll(assignedTo(job.record, shard.id));
+  if (version <= shard.acquiredVersion) addRezonedTasks(shard, job, record);
   job.record = record;
   job.version = version;
   if (!added.isEmpty) {
@@ -79,6 +80,20 @@
   if (job.gangHistory) shard.gangs.add(job);
 }
 
+/**
+ * Makes waiting tasks unaccounted that a record written before the acquisition, but read after it, assigns to another
+ * zone than the copy: an earlier leader may have started them there.
+ */
+function addRezonedTasks(shard: Shard, job: ShardJob, record: JobRecord): void {
+  const rezoned = RangeSet.empty();
+  for (const tasks of [job.waiting, job.unconfirmed])
+    for (const index of tasks)
+      if (requiredZoneOf(record, index) !== requiredZoneOf(job.record, index)) rezoned.add(index);
+  if (rezoned.isEmpty) return;
+  for (const index of rezoned) withdrawFromQueue(job, index, index + 1);
+  shard.addUnaccounted(job, rezoned);
+}
+
 /** Adds tasks that the record newly assigns to the shard. */
 function addAssignedTasks(shard: Shard, job: ShardJob, added: RangeSet): void {
   // The tasks were transferred from a shard whose leader knew that none of them was on a machine.
--- a/test/jobs/job-records.test.ts
+++ b/test/jobs/job-records.test.ts
@@ -3,10 +3,11 @@
 import { test } from 'node:test';
 import { decodeRecord, encodeRecord } from '../../src/jobs/codec.js';
 import { withFinishedTasks } from '../../src/jobs/stored-size.js';
-import { reassign } from '../../src/jobs/record.js';
+import { reassign, type JobRecord } from '../../src/jobs/record.js';
 import type { JobSpec } from '../../src/jobs/spec.js';
 import { RangeSet } from '../../src/model/ranges.js';
-import { revision, shardId, type ClusterMs } from '../../src/model/units.js';
+import { revision, shardId, type ClusterMs, type ZoneId } from '../../src/model/units.js';
+import { RandomStream } from '../../src/simulation/random.js';
 import { assertTraceMatches } from '../support/recorded-trace.js';
 import { SimulatedCluster } from '../support/simulated-cluster.js';
 
@@ -60,6 +61,34 @@
   assert.deepEqual(back.assignments, record.assignments);
 });
 
+test('reassigning any set of tasks changes these tasks alone, in as few ranges as possible', () => {
+  const random = new RandomStream(1);
+  const placeOf = ({ assignments }: Pick<JobRecord, 'assignments'>, index: number): string => {
+    const found = assignments.filter(({ from, to }) => from <= index && index < to);
+    assert.equal(found.length, 1);
+    return `${found[0]?.shard}/${found[0]?.zone}`;
+  };
+  for (let round = 0; round < 200; round += 1) {
+    const draw = (): RangeSet =>
+      RangeSet.of(
+        Array.from({ length: random.integer(0, 12) }, () => {
+          const start = random.integer(0, 99);
+          return [start, Math.min(100, start + random.integer(1, 20))] as const;
+        }),
+      );
+    const scattered = reassign(record, draw(), shardId(2), () => 'west' as ZoneId);
+    const moved = draw();
+    const reassigned = reassign(scattered, moved, shardId(1), () => 'east' as ZoneId);
+    for (let index = 0; index < spec.tasks; index += 1)
+      assert.equal(placeOf(reassigned, index), moved.has(index) ? '1/east' : placeOf(scattered, index));
+    for (const [i, { from, shard, zone }] of reassigned.assignments.entries()) {
+      const previous = reassigned.assignments[i - 1];
+      assert.equal(from, previous?.to ?? 0);
+      assert.ok(!previous || previous.shard !== shard || previous.zone !== zone);
+    }
+  }
+});
+
 test('scattered finished tasks that do not fit into a value are written later; the record stays within the size limit', () => {
   const evenTasks = RangeSet.of(Array.from({ length: 50 }, (_, i) => [2 * i, 2 * i + 1] as const));
   const partial = withFinishedTasks(record, evenTasks, 300);
--- a/test/overflow/zone-reassignment.test.ts
+++ b/test/overflow/zone-reassignment.test.ts
@@ -47,6 +47,7 @@
 const CONTEXT = {
   now: NOW,
   homeZone: 'east' as ZoneId,
+  shards: [{ shard: OWN_SHARD, zone: 'east' as ZoneId }],
   zones: ['east', 'west'] as ZoneId[],
   types: [TYPE as unknown as InstanceType],
   freeCapacity: new Map([[1 as ShardId, freeIn(1, 'east')]]),
--- a/test/scheduling/starvation.test.ts
+++ b/test/scheduling/starvation.test.ts
@@ -4,7 +4,8 @@
 import { NO_REVISION } from '../../src/model/units.js';
 import type { InstanceType } from '../../src/cloud/wire.js';
 import type { Core } from '../../src/core.js';
-import { assignJob, type AssignmentContext } from '../../src/overflow/assignment.js';
+import { assignJob } from '../../src/overflow/assignment.js';
+import type { AssignmentContext } from '../../src/overflow/assignment-context.js';
 import { computeFreeCapacity } from '../../src/overflow/announcement.js';
 import { chooseTaskTransfer } from '../../src/overflow/task-transfer.js';
 import {
@@ -175,6 +176,7 @@
   const ctx = (...capacities: FreeCapacity[]): Parameters<typeof chooseZoneReassignment>[3] => ({
     now: NOW,
     homeZone: EAST,
+    shards: [{ shard: OWN_SHARD, zone: EAST }],
     zones: [EAST, WEST],
     types: [machineTypeIn('large', 'east', 'west')],
     freeCapacity: new Map(capacities.map((capacity) => [capacity.shard, capacity])),
--- a/test/shards/sync.test.ts
+++ b/test/shards/sync.test.ts
@@ -3,6 +3,7 @@
 import { test } from 'node:test';
 import { revision, steady, type JobId } from '../../src/model/units.js';
 import { allocate, isAssignedTo, syncJob, type Shard, type ShardJob } from '../../src/shards/model.js';
+import { requeueAccountedTasks } from '../../src/shards/unaccounted-tasks.js';
 import {
   ACQUIRED_VERSION,
   addMachineTo,
@@ -122,6 +123,32 @@
   assert.deepEqual(jobOf(shard).waiting.ranges(), [[0, 2]]);
 });
 
+// Guards against: an earlier leader gave a waiting task the place of a finished one and started it, and its successor,
+// which has read only the record without the place, starts the task again.
+test('tasks that an earlier leader assigned to another zone are unaccounted, also if the record is read late', () => {
+  const shard = buildShard();
+  const machine = addMachineTo(shard, 'm-0', { reconciled: false });
+  sync(shard, { assigned: [[0, 2]], zone: '' }, revision(ACQUIRED_VERSION - 1), true);
+  requeueAccountedTasks(shard);
+  assert.deepEqual(jobOf(shard).waiting.ranges(), [[0, 2]], 'no machine is in that zone');
+  sync(shard, { assigned: [[0, 2]], zone: 'east' }, ACQUIRED_VERSION);
+  assert.equal(jobOf(shard).waiting.isEmpty, true);
+  assert.deepEqual(jobOf(shard).unaccounted.ranges(), [[0, 2]]);
+  assert.equal(shard.reconciled, false);
+  requeueAccountedTasks(shard);
+  assert.equal(jobOf(shard).waiting.isEmpty, true, 'the machine may have the tasks');
+  shard.markReconciled(machine);
+  requeueAccountedTasks(shard);
+  assert.deepEqual(jobOf(shard).waiting.ranges(), [[0, 2]]);
+});
+
+test('tasks that this leader assigned to another zone keep waiting', () => {
+  const shard = buildShard();
+  sync(shard, { assigned: [[0, 2]], zone: '' });
+  sync(shard, { assigned: [[0, 2]], zone: 'east' }, MUCH_LATER);
+  assert.deepEqual(jobOf(shard).waiting.ranges(), [[0, 2]]);
+});
+
 test('a machine registered by a record ahead of the watch takes no task before the watch has passed it', () => {
   const shard = buildShard();
   shard.confirmUpTo(LATER);
