--- a/test/jobs/zone-release.test.ts
+++ b/test/jobs/zone-release.test.ts
@@ -17,12 +17,11 @@
 import { revision, shardId, steady, type ZoneId } from '../../src/model/units.js';
 import { addToMachine, type Shard } from '../../src/shards/model.js';
 import type { Condition } from '../../src/store/wire.js';
-import { buildJobSpec } from '../support/job-specs.js';
 import { syncConfirmedJob } from '../support/confirmed-job.js';
 import { addMachineTo, buildAllocation, buildShard } from '../support/shard-builder.js';
+import { recordWithZones, type AssignmentRow } from '../support/zone-job.js';
 
-type AssignmentRow = readonly [from: number, to: number, shard: number, zone: string | null];
-type Specification = Parameters<typeof buildJobSpec>[0];
+type Specification = Parameters<typeof recordWithZones>[0];
 
 const OWN_SHARD = shardId(0);
 const MAX_BYTES = 4000;
@@ -31,21 +30,11 @@
   [2, 4, 0, ''],
 ];
 
-function recordOf(
-  assignments: readonly AssignmentRow[],
+const recordOf = (
+  rows: readonly AssignmentRow[],
   done: Range[],
   specification: Specification = { spread: true },
-): JobRecord {
-  const tasks = Math.max(...assignments.map(([, to]) => to));
-  return {
-    spec: buildJobSpec({ id: 'req-1', tasks, ...specification }),
-    homeShard: 0,
-    acceptedRevision: 1,
-    acceptedAt: null,
-    assignments: assignments.map(([from, to, shard, zone]) => ({ from, to, shard, zone })),
-    done: RangeSet.of(done),
-  } as unknown as JobRecord;
-}
+): JobRecord => recordWithZones(specification, rows, done);
 
 const rowsOf = ({ assignments }: JobRecord): AssignmentRow[] =>
   assignments.map(({ from, to, shard, zone }) => [from, to, shard, zone]);
--- a/test/overflow/freed-places.test.ts
+++ b/test/overflow/freed-places.test.ts
@@ -8,9 +8,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { InstanceType } from '../../src/cloud/wire.js';
-import type { JobRecord } from '../../src/jobs/record.js';
 import { seededRandom } from '../../src/model/random.js';
-import { RangeSet, type Range } from '../../src/model/ranges.js';
 import type { ShardId, SteadyMs, ZoneId } from '../../src/model/units.js';
 import {
   chooseZoneReassignment,
@@ -19,11 +17,8 @@
   type ZoneReassignmentContext,
 } from '../../src/overflow/zone-reassignment.js';
 import type { FreeCapacity } from '../../src/peers/free-capacity.js';
-import { Shard, type ShardJob } from '../../src/shards/model.js';
-import { buildJobSpec } from '../support/job-specs.js';
-import { syncConfirmedJob } from '../support/confirmed-job.js';
-
-type AssignmentRow = readonly [from: number, to: number, shard: number, zone: string];
+import type { ShardJob } from '../../src/shards/model.js';
+import { jobWithZones, type AssignmentRow, type recordWithZones } from '../support/zone-job.js';
 
 const NOW = 1_000_000 as SteadyMs;
 const OWN_SHARD = 0 as ShardId;
@@ -53,27 +48,9 @@
   random: seededRandom(1),
 });
 
-function jobWith(
-  specification: Parameters<typeof buildJobSpec>[0],
-  assignments: readonly AssignmentRow[],
-  done: Range[] = [],
-): ShardJob {
-  const shard = new Shard(OWN_SHARD, 7 as never, 10 as never, 0 as SteadyMs, new Map());
-  const tasks = Math.max(...assignments.map(([, to]) => to));
-  const record = {
-    spec: buildJobSpec({ id: 'req-1', tasks, cpus: 1, ...specification }),
-    homeShard: 0,
-    assignments: assignments.map(([from, to, assignedShard, zone]) => ({
-      from,
-      to,
-      shard: assignedShard,
-      zone,
-    })),
-    done: RangeSet.of(done),
-  } as unknown as JobRecord;
-  syncConfirmedJob(shard, record, 20 as never, 0 as SteadyMs, false);
-  return [...shard.jobs.values()][0] as ShardJob;
-}
+/** A job whose tasks need one CPU each. */
+const jobWith = (...[specification, ...rest]: Parameters<typeof recordWithZones>): ShardJob =>
+  jobWithZones(OWN_SHARD, { cpus: 1, ...specification }, ...rest);
 
 const choose = (
   job: ShardJob,
--- a/test/overflow/zone-reassignment.test.ts
+++ b/test/overflow/zone-reassignment.test.ts
@@ -13,9 +13,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { InstanceType } from '../../src/cloud/wire.js';
-import { reassign, type JobRecord } from '../../src/jobs/record.js';
+import { reassign } from '../../src/jobs/record.js';
 import { seededRandom } from '../../src/model/random.js';
-import { RangeSet, type Range } from '../../src/model/ranges.js';
+import type { Range } from '../../src/model/ranges.js';
 import type { ShardId, SteadyMs, ZoneId } from '../../src/model/units.js';
 import {
   chooseZoneReassignment,
@@ -23,19 +23,16 @@
   type ZoneReassignment,
 } from '../../src/overflow/zone-reassignment.js';
 import type { FreeCapacity } from '../../src/peers/free-capacity.js';
-import { Shard, type ShardJob } from '../../src/shards/model.js';
+import type { ShardJob } from '../../src/shards/model.js';
 import { checkScenario, type FaultInput } from '../../src/simulation/scenario.js';
 import { Simulation } from '../../src/simulation/simulation.js';
-import { syncConfirmedJob } from '../support/confirmed-job.js';
-import { buildJobSpec } from '../support/job-specs.js';
+import { jobWithZones, type AssignmentRow } from '../support/zone-job.js';
 
 const NOW = 1_000_000 as SteadyMs;
 const OWN_SHARD = 0 as ShardId;
 const LOST_ZONE = 'west' as ZoneId;
 const TYPE = { name: 'large', cpus: 8, gpus: 0, memoryGb: 64, zones: ['east', 'west'] };
 
-type AssignmentRow = readonly [from: number, to: number, shard: number, zone: string];
-
 const freeIn = (shard: number, zone: string): FreeCapacity =>
   ({
     shard,
@@ -55,26 +52,13 @@
 };
 
 /** A shard's state of a job that must be in one zone and spread, and that has waited long enough to be reassigned. */
-function waitingJob(
-  tasks: number,
-  assignments: readonly AssignmentRow[],
-  done: Range[] = [],
-  shardId = OWN_SHARD,
-): ShardJob {
-  const shard = new Shard(shardId, 7 as never, 10 as never, 0 as SteadyMs, new Map());
-  const record = {
-    spec: buildJobSpec({ id: 'req-1', tasks, oneZone: true, spread: true, kind: 'service', priority: 0 }),
-    homeShard: 0,
-    assignments: assignments.map(([from, to, assignedShard, zone]) => ({
-      from,
-      to,
-      shard: assignedShard,
-      zone,
-    })),
-    done: RangeSet.of(done),
-  } as unknown as JobRecord;
-  syncConfirmedJob(shard, record, 20 as never, 0 as SteadyMs, false);
-  const job = [...shard.jobs.values()][0] as ShardJob;
+function waitingJob(rows: readonly AssignmentRow[], done: Range[] = [], shardId = OWN_SHARD): ShardJob {
+  const job = jobWithZones(
+    shardId,
+    { oneZone: true, spread: true, kind: 'service', priority: 0 },
+    rows,
+    done,
+  );
   job.waitingSince = (NOW - ZONE_REASSIGNMENT_DELAY_MS) as SteadyMs;
   return job;
 }
@@ -89,7 +73,7 @@
 ];
 
 test('half of a job that must be in one zone and spread moves as one group, the other tasks stay without a zone', () => {
-  const job = waitingJob(5, HALF_IN_LOST_ZONE);
+  const job = waitingJob(HALF_IN_LOST_ZONE);
   const reassignment = choose(job);
   assert.deepEqual(
     [reassignment?.tasks.ranges(), reassignment?.zone, reassignment?.shard],
@@ -103,7 +87,7 @@
       { from: 3, to: 5, shard: 0, zone: '' },
     ],
   );
-  const single = choose(waitingJob(1, [[0, 1, 0, 'west']]));
+  const single = choose(waitingJob([[0, 1, 0, 'west']]));
   assert.deepEqual([single?.tasks.ranges(), single?.zone], [[[0, 1]], 'east']);
 });
 
@@ -114,26 +98,26 @@
     [3, 5, 0, ''],
   ];
   const shard = 2 as ShardId;
-  const collected = chooseZoneReassignment(shard, waitingJob(5, assignments, [], shard), LOST_ZONE, CONTEXT);
+  const collected = chooseZoneReassignment(shard, waitingJob(assignments, [], shard), LOST_ZONE, CONTEXT);
   assert.deepEqual([collected?.tasks.ranges(), collected?.zone, collected?.shard], [[[1, 3]], LOST_ZONE, 1]);
 });
 
 test('the group does not move if any of its tasks may be on a machine or has ended; the other tasks never move', () => {
   for (const state of ['unaccounted', 'unconfirmed', 'transferring', 'allocated'] as const) {
-    const job = waitingJob(5, HALF_IN_LOST_ZONE);
+    const job = waitingJob(HALF_IN_LOST_ZONE);
     job.waiting.remove(1);
     if (state !== 'allocated') job[state].add(1);
     assert.equal(choose(job), null, state);
   }
-  assert.equal(choose(waitingJob(5, HALF_IN_LOST_ZONE, [[0, 1]])), null, 'a task of the group is done');
-  assert.equal(choose(waitingJob(5, HALF_IN_LOST_ZONE), '' as ZoneId), null, 'tasks without a zone');
-  const onAnotherShard = waitingJob(5, [
+  assert.equal(choose(waitingJob(HALF_IN_LOST_ZONE, [[0, 1]])), null, 'a task of the group is done');
+  assert.equal(choose(waitingJob(HALF_IN_LOST_ZONE), '' as ZoneId), null, 'tasks without a zone');
+  const onAnotherShard = waitingJob([
     [0, 2, 0, 'west'],
     [2, 3, 1, 'west'],
     [3, 5, 0, ''],
   ]);
   assert.equal(choose(onAnotherShard), null, 'another shard may run a task of the group');
-  const inTwoZones = waitingJob(5, [
+  const inTwoZones = waitingJob([
     [0, 3, 0, 'west'],
     [3, 5, 1, 'east'],
   ]);
