--- a/test/overflow/freed-places.test.ts
+++ b/test/overflow/freed-places.test.ts
@@ -96,6 +96,21 @@
   assert.deepEqual(summary(choose(job, NO_ZONE, contextWith())), [[[2, 4]], 'east', EAST_SHARD]);
 });
 
+test('a job bound to a zone takes no place elsewhere, also while no instance type is known', () => {
+  const rows: AssignmentRow[] = [
+    [0, 2, 0, ''],
+    [2, 4, 0, ''],
+  ];
+  const inWest = jobWith({ spread: true, zone: WEST }, rows, [[0, 2]]);
+  assert.deepEqual(
+    summary(choose(inWest)),
+    [[[2, 4]], WEST, OWN_SHARD],
+    'capacity in another zone is no choice',
+  );
+  const withoutTypes = { ...contextWith(freeIn('east', 8)), types: [] };
+  assert.deepEqual(summary(choose(inWest, NO_ZONE, withoutTypes)), [[[2, 4]], WEST, OWN_SHARD]);
+});
+
 test('no task moves while it is not known of all tasks of the job whether they are on a machine', () => {
   const rows: AssignmentRow[] = [
     [0, 2, 1, ''],
